--- /dev/null
+++ b/src/pollenbay/queries/dispatch.py
@@ -0,0 +1,15 @@
+"""The entry to the operators' queries, by the type of the query."""
+
+from functools import singledispatch
+from typing import Any
+
+from pollenbay.node import Node
+
+
+@singledispatch
+async def answer(query: object, node: Node) -> Any:
+    """Answer an operator's query about a node with a typed result.
+
+    :raises TypeError: if no handler is registered for the type of the query.
+    """
+    raise TypeError(f"not a query: {type(query).__name__}")
--- /dev/null
+++ b/src/pollenbay/rule.py
@@ -0,0 +1,67 @@
+"""Typed rules for the calls of each service, as published by operators."""
+
+from msgspec import Struct, field
+
+from pollenbay.ids import CallName, Digest, OperatorId, RuleVersion, ServiceName
+from pollenbay.states import CallClass
+
+DEFAULT_RETRIES = 2
+DEFAULT_SLOTS = 20
+
+
+class CallRule(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Rule for one call of a service.
+
+    :param name: name of the call, the first part of its path.
+    :param call_class: importance; `class` in a rule file.
+    :param idempotent: whether running it twice does no harm.
+    :param wait_ms: how long a caller waits for the answer, in milliseconds.
+    :param retries: retries granted to a request that enters with this call, for its whole chain.
+    :param calls: calls that it makes, each as ``service.call``.
+    """
+
+    name: CallName
+    call_class: CallClass = field(name="class")
+    idempotent: bool = True
+    wait_ms: int
+    retries: int = DEFAULT_RETRIES
+    calls: tuple[str, ...] = ()
+
+
+class ServiceRule(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Rules of one service, the content of one rule file.
+
+    :param service: name of the service.
+    :param slots: calls that one instance can run at once, where the adaptive limit starts.
+    :param calls: its calls.
+    """
+
+    service: ServiceName
+    slots: int = DEFAULT_SLOTS
+    calls: tuple[CallRule, ...]
+
+
+class RuleSet(Struct, frozen=True, kw_only=True):
+    """Everything published in one version.
+
+    :param version: grows by one with each accepted publication; 0 before the first.
+    :param digest: SHA-256 of the encoded services, in hexadecimal.
+    :param author: who published it.
+    :param published_at: seconds since the epoch, by the publisher's clock.
+    :param services: rules of all services.
+    """
+
+    version: RuleVersion
+    digest: Digest
+    author: OperatorId
+    published_at: float
+    services: tuple[ServiceRule, ...]
+
+
+EMPTY_RULES = RuleSet(
+    version=RuleVersion(0),
+    digest=Digest(""),
+    author=OperatorId(""),
+    published_at=0.0,
+    services=(),
+)
--- /dev/null
+++ b/src/pollenbay/rulebook.py
@@ -0,0 +1,55 @@
+"""The rules in force on a node, indexed for the calls."""
+
+from pollenbay.ids import CallName, RuleVersion, ServiceName
+from pollenbay.rule import EMPTY_RULES, CallRule, RuleSet, ServiceRule
+
+
+class Rulebook:
+    """The rule set in force; `pollenbay.commands.adoption` alone replaces it."""
+
+    def __init__(self) -> None:
+        self._rules = EMPTY_RULES
+        self._adopted_at = 0.0
+        self._services: dict[ServiceName, ServiceRule] = {}
+        self._calls: dict[tuple[ServiceName, CallName], CallRule] = {}
+
+    @property
+    def rules(self) -> RuleSet:
+        """Return the rule set in force."""
+        return self._rules
+
+    @property
+    def version(self) -> RuleVersion:
+        """Return its version; 0 before the first."""
+        return self._rules.version
+
+    @property
+    def adopted_at(self) -> float:
+        """Return when it came into force here, in seconds since the epoch."""
+        return self._adopted_at
+
+    @property
+    def services(self) -> dict[ServiceName, ServiceRule]:
+        """Return the rules by service."""
+        return self._services
+
+    @property
+    def calls(self) -> dict[tuple[ServiceName, CallName], CallRule]:
+        """Return the rules by service and call."""
+        return self._calls
+
+    def replace(self, rules: RuleSet, adopted_at: float) -> None:
+        """Put another rule set in force."""
+        self._rules = rules
+        self._adopted_at = adopted_at
+        self._services = {rule.service: rule for rule in rules.services}
+        self._calls = {
+            (service.service, call.name): call
+            for service in rules.services
+            for call in service.calls
+        }
+
+
+def make_rulebook() -> Rulebook:
+    """Return a rulebook with no rules."""
+    return Rulebook()
--- /dev/null
+++ b/src/pollenbay/states.py
@@ -0,0 +1,78 @@
+"""Enumerations of the states and kinds that the parts of the system share."""
+
+from enum import Enum
+
+
+class CallClass(Enum):
+    """Importance of a call; a lower rank is shed later."""
+
+    CRITICAL = "critical"
+    NORMAL = "normal"
+    SHEDDABLE = "sheddable"
+
+    @property
+    def rank(self) -> int:
+        """Return 0 for the most important class, growing from there."""
+        return _CLASS_RANKS[self]
+
+
+_CLASS_RANKS = {call_class: rank for rank, call_class in enumerate(CallClass)}
+
+
+class NodeState(Enum):
+    """Life of a node process."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    DRAINING = "draining"
+    STOPPED = "stopped"
+
+
+class MemberState(Enum):
+    """What a node believes of an instance."""
+
+    STARTING = "starting"
+    SERVING = "serving"
+    LEAVING = "leaving"
+    SUSPECT = "suspect"
+    DEAD = "dead"
+
+
+class TargetState(Enum):
+    """What the target beside a node last announced of itself."""
+
+    ABSENT = "absent"
+    SERVING = "serving"
+    LEAVING = "leaving"
+
+
+class ClaimState(Enum):
+    """State of the row that guards one idempotency key."""
+
+    CLAIMED = "claimed"
+    ANSWERED = "answered"
+    RELEASED = "released"
+
+
+class Reason(Enum):
+    """Why a call was not answered."""
+
+    OVERLOAD = "overload"
+    QUEUE_TIMEOUT = "queue-timeout"
+    CALLER_SHARE = "caller-share"
+    DOWNSTREAM_OVERLOAD = "downstream-overload"
+    DEADLINE = "deadline"
+    DRAINING = "draining"
+    NOT_READY = "not-ready"
+    NO_TARGET = "no-target"
+    CONNECT_FAILED = "connect-failed"
+    UNKNOWN_CALL = "unknown-call"
+    BAD_REQUEST = "bad-request"
+    BAD_CONTEXT = "bad-context"
+    TOO_LARGE = "too-large"
+    DUPLICATE = "duplicate"
+    CLAIM_UNAVAILABLE = "claim-unavailable"
+    CONNECTION_LOST = "connection-lost"
+    CONNECTION_SILENT = "connection-silent"
+    ANSWER_BROKEN = "answer-broken"
+    CANCELLED = "cancelled"
