--- a/src/pollenbay/http1.py
+++ b/src/pollenbay/http1.py
@@ -3,11 +3,11 @@
 from collections.abc import Iterable
 
 import h11
-from curio import open_connection
 from curio.io import Socket
 from msgspec import Struct
 
 from pollenbay.outcome import Headers
+from pollenbay.stream import StreamConnectError, open_stream, peer_has_closed
 
 RECEIVE_BYTES = 65536
 HEADER_LIMIT_BYTES = 16384
@@ -205,6 +205,11 @@
         """Tell whether another exchange can follow on this connection."""
         return self._conn.our_state is h11.IDLE and self._conn.their_state is h11.IDLE
 
+    @property
+    def stale(self) -> bool:
+        """Tell whether the server has closed the connection meanwhile."""
+        return peer_has_closed(self._sock)
+
     async def exchange(self, request: HttpRequest) -> HttpResponse:
         """Send a request and return the whole response.
 
@@ -283,8 +288,8 @@
     :raises HttpConnectError: if none can be opened.
     """
     try:
-        sock = await open_connection(address, port)
-    except OSError as error:
+        sock = await open_stream(address, port)
+    except StreamConnectError as error:
         raise HttpConnectError(str(error)) from error
     return HttpClient(sock, body_limit_bytes)
 
--- /dev/null
+++ b/src/pollenbay/stream.py
@@ -0,0 +1,86 @@
+"""TCP streams by IP number: opening without name look-up, listening, and signs of a closed peer."""
+
+from collections.abc import Awaitable, Callable
+from select import POLLERR, POLLHUP, POLLRDHUP, poll
+
+from curio import TaskGroup, TaskTimeout, timeout_after
+from curio.io import Socket
+from curio.socket import AF_INET, IPPROTO_TCP, SO_REUSEADDR, SOCK_STREAM, SOL_SOCKET, TCP_NODELAY
+from curio.socket import socket as make_socket
+
+CONNECT_TIMEOUT_S = 1.0
+BACKLOG_CONNECTIONS = 1024
+CLOSED_EVENTS = POLLRDHUP | POLLHUP | POLLERR
+
+
+class StreamError(Exception):
+    """Root of the errors of this layer."""
+
+
+class StreamConnectError(StreamError):
+    """No connection could be opened within the time allowed."""
+
+
+async def open_stream(address: str, port: int, timeout_s: float = CONNECT_TIMEOUT_S) -> Socket:
+    """Open a connection to an IP number.
+
+    :raises StreamConnectError: if none can be opened in time.
+    """
+    sock = make_socket(AF_INET, SOCK_STREAM)
+    try:
+        await timeout_after(timeout_s, sock.connect, (address, port))
+    except (OSError, TaskTimeout) as error:
+        await sock.close()
+        raise StreamConnectError(f"{address}:{port}: {error}") from error
+    except BaseException:
+        await sock.close()
+        raise
+    sock.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+    return sock
+
+
+def listen(address: str, port: int) -> Socket:
+    """Return a listening socket; port 0 lets the system choose one."""
+    sock = make_socket(AF_INET, SOCK_STREAM)
+    sock.setsockopt(SOL_SOCKET, SO_REUSEADDR, 1)
+    sock.bind((address, port))
+    sock.listen(BACKLOG_CONNECTIONS)
+    return sock
+
+
+def port_of(sock: Socket) -> int:
+    """Return the local port of a socket."""
+    return sock.getsockname()[1]
+
+
+async def accept_streams(sock: Socket, serve: Callable[[Socket], Awaitable[None]]) -> None:
+    """Run one task for each accepted connection until cancelled, then cancel them all."""
+    async with TaskGroup() as group:
+        await group.spawn(_accept_each, sock, serve, group)
+        async for task in group:
+            task.joined = True
+
+
+async def _accept_each(
+    sock: Socket, serve: Callable[[Socket], Awaitable[None]], group: TaskGroup
+) -> None:
+    async with sock:
+        while True:
+            stream, _ = await sock.accept()
+            stream.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+            await group.spawn(_serve_one, stream, serve)
+
+
+async def _serve_one(stream: Socket, serve: Callable[[Socket], Awaitable[None]]) -> None:
+    async with stream:
+        try:
+            await serve(stream)
+        except OSError:
+            return
+
+
+def peer_has_closed(sock: Socket) -> bool:
+    """Tell, without waiting or reading, whether the other end has closed the connection."""
+    poller = poll()
+    poller.register(sock.fileno(), CLOSED_EVENTS)
+    return bool(poller.poll(0))
--- a/src/pollenbay/table.py
+++ b/src/pollenbay/table.py
@@ -152,8 +152,11 @@
         return response
 
     async def _connection(self) -> HttpClient:
-        if self._idle:
-            return self._idle.pop()
+        while self._idle:
+            client = self._idle.pop()
+            if not client.stale:
+                return client
+            await client.close()
         return await connect_http(self._address, self._port)
 
     async def _keep(self, client: HttpClient) -> None:
