--- /dev/null
+++ b/src/pollenbay/message.py
@@ -0,0 +1,157 @@
+"""Messages between nodes on a link, and their translation to and from calls and outcomes."""
+
+from functools import singledispatch
+
+from msgspec import Struct
+
+from pollenbay.call import Call
+from pollenbay.ids import CallerId, CallId, CallName, IdempotencyKey, RequestId, ServiceName
+from pollenbay.outcome import Answered, Headers, NotRun, Outcome, Unknown
+from pollenbay.states import Reason
+
+MS_PER_S = 1000.0
+
+
+class LinkMessage(Struct, array_like=True, tag_field="t", gc=False):
+    """Root of the messages of a link.
+
+    :param call_id: the attempt that it is about.
+    """
+
+    call_id: CallId
+
+
+class CallMessage(LinkMessage, tag=1):
+    """Ask the node beside a target to run a call.
+
+    :param time_left_ms: milliseconds until the deadline.
+    :param allowance: retries handed out for what the target calls in turn.
+    """
+
+    request: RequestId
+    service: ServiceName
+    name: CallName
+    caller: CallerId
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    time_left_ms: float
+    allowance: int
+    idempotency_key: IdempotencyKey | None
+    depth: int
+
+
+class AnswerMessage(LinkMessage, tag=2):
+    """The target's whole answer."""
+
+    status: int
+    headers: Headers
+    body: bytes
+    allowance_left: int
+
+
+class NotRunMessage(LinkMessage, tag=3):
+    """The call was refused before the target could see it."""
+
+    reason: Reason
+    retry_after_s: float
+    allowance_left: int
+
+
+class UnknownMessage(LinkMessage, tag=4):
+    """The call may have run."""
+
+    reason: Reason
+    allowance_left: int
+
+
+class ProgressMessage(LinkMessage, tag=5):
+    """The call is still queued or running; proves that the connection is alive."""
+
+
+AnyLinkMessage = CallMessage | AnswerMessage | NotRunMessage | UnknownMessage | ProgressMessage
+ReplyMessage = AnswerMessage | NotRunMessage | UnknownMessage
+
+
+def make_call_message(call: Call, call_id: CallId, time_left_s: float, allowance: int):
+    """Return the message that asks another node to run a call."""
+    return CallMessage(
+        call_id=call_id,
+        request=call.request,
+        service=call.service,
+        name=call.name,
+        caller=call.caller,
+        method=call.method,
+        path=call.path,
+        headers=call.headers,
+        body=call.body,
+        time_left_ms=time_left_s * MS_PER_S,
+        allowance=allowance,
+        idempotency_key=call.idempotency_key,
+        depth=call.depth,
+    )
+
+
+def make_call(message: CallMessage, now: float) -> Call:
+    """Return the call that a message asks for; its deadline counts from `now`."""
+    return Call(
+        request=message.request,
+        service=message.service,
+        name=message.name,
+        caller=message.caller,
+        method=message.method,
+        path=message.path,
+        headers=message.headers,
+        body=message.body,
+        deadline=now + message.time_left_ms / MS_PER_S,
+        idempotency_key=message.idempotency_key,
+        depth=message.depth,
+    )
+
+
+@singledispatch
+def reply_to(outcome: Outcome, call_id: CallId) -> ReplyMessage:
+    """Return the message that carries an outcome back."""
+    raise TypeError(f"not an outcome: {type(outcome).__name__}")
+
+
+@reply_to.register
+def _(outcome: Answered, call_id: CallId) -> ReplyMessage:
+    return AnswerMessage(
+        call_id, outcome.status, outcome.headers, outcome.body, outcome.allowance_left
+    )
+
+
+@reply_to.register
+def _(outcome: NotRun, call_id: CallId) -> ReplyMessage:
+    return NotRunMessage(call_id, outcome.reason, outcome.retry_after_s, outcome.allowance_left)
+
+
+@reply_to.register
+def _(outcome: Unknown, call_id: CallId) -> ReplyMessage:
+    return UnknownMessage(call_id, outcome.reason, outcome.allowance_left)
+
+
+@singledispatch
+def outcome_of(message: AnyLinkMessage) -> Outcome:
+    """Return the outcome that a reply carries.
+
+    :raises TypeError: if the message is not a reply.
+    """
+    raise TypeError(f"not a reply: {type(message).__name__}")
+
+
+@outcome_of.register
+def _(message: AnswerMessage) -> Outcome:
+    return Answered(message.status, message.headers, message.body, message.allowance_left)
+
+
+@outcome_of.register
+def _(message: NotRunMessage) -> Outcome:
+    return NotRun(message.reason, message.retry_after_s, message.allowance_left)
+
+
+@outcome_of.register
+def _(message: UnknownMessage) -> Outcome:
+    return Unknown(message.reason, message.allowance_left)
