--- /dev/null
+++ b/src/pollenbay/commands/calling.py
@@ -0,0 +1,208 @@
+"""Placing a call: plan by the rules, attempts at targets, retries within the request's allowance."""
+
+from curio import Task, TaskTimeout, sleep, spawn, timeout_after
+
+from pollenbay.account import Account
+from pollenbay.call import Call, Entrance, Passage
+from pollenbay.commands.retry import give_back, hand_out, note_first, take_retry
+from pollenbay.commands.routing import begin_attempt, end_attempt
+from pollenbay.commands.serving import serve
+from pollenbay.ids import InstanceId, make_call_id
+from pollenbay.link import Link, LinkBrokenError, LinkConnectError, LinkMessageError
+from pollenbay.message import CallMessage, ProgressMessage, make_call_message, outcome_of
+from pollenbay.node import Node
+from pollenbay.outcome import Answered, NotRun, Outcome, Unknown
+from pollenbay.queries.pressure import refuse_at_entry
+from pollenbay.queries.retry import is_retriable
+from pollenbay.queries.routing import pick
+from pollenbay.queries.rules import find_call
+from pollenbay.rule import CallRule
+from pollenbay.score import AttemptResult
+from pollenbay.states import Reason
+from pollenbay.view import Member
+
+DEPTH_LIMIT = 16
+RETRY_AFTER_S = 1.0
+BACKOFF_S = 0.004
+BACKOFF_LIMIT_S = 0.1
+#: The node beside the target must be done this much earlier, so that its answer arrives in time.
+RETURN_MARGIN_S = 0.01
+#: A link on which not even progress has been heard for so long is dead.
+SILENCE_LIMIT_S = 1.5
+
+
+async def place(
+    node: Node, call: Call, account: Account, entrance: Entrance, passage: Passage
+) -> Outcome:
+    """Bring a call to a target and return its outcome.
+
+    :param account: retries of the request to which the call belongs.
+    """
+    rule = find_call(node.rulebook, call.service, call.name)
+    if rule is None:
+        return NotRun(Reason.UNKNOWN_CALL)
+    if call.depth > DEPTH_LIMIT:
+        return NotRun(Reason.BAD_CONTEXT)
+    if entrance is Entrance.CALLER:
+        refusal = refuse_at_entry(
+            node.rulebook, node.view, call.service, call.name, node.timer.now()
+        )
+        if refusal is not None:
+            return NotRun(refusal.reason, refusal.retry_after_s)
+    return await _place_by_rule(node, call, rule, account, passage)
+
+
+async def _place_by_rule(
+    node: Node, call: Call, rule: CallRule, account: Account, passage: Passage
+) -> Outcome:
+    excluded: frozenset[InstanceId] = frozenset()
+    note_first(node.budget, rule.call_class, node.timer.now())
+    retries = 0
+    while True:
+        member = _choose(node, call, excluded)
+        if member is None:
+            return NotRun(Reason.NO_TARGET, RETRY_AFTER_S)
+        node.metrics.note_attempt(rule.call_class, retries > 0)
+        outcome = await _attempt(node, call, rule, account, passage, member)
+        if not is_retriable(outcome, rule) or not _has_time(node, call):
+            return outcome
+        if not take_retry(account, node.budget, rule.call_class, node.timer.now()):
+            return outcome
+        excluded = excluded | {member.instance}
+        await sleep(_backoff_s(node, retries))
+        retries += 1
+
+
+def _choose(node: Node, call: Call, excluded: frozenset[InstanceId]) -> Member | None:
+    now = node.timer.now()
+    choice = pick(node.view, node.scores, call.service, node.place, excluded, now, node.random)
+    if choice is None and excluded:
+        choice = pick(
+            node.view, node.scores, call.service, node.place, frozenset(), now, node.random
+        )
+    return choice
+
+
+def _has_time(node: Node, call: Call) -> bool:
+    return call.deadline - node.timer.now() > RETURN_MARGIN_S
+
+
+def _backoff_s(node: Node, retries: int) -> float:
+    limit_s = min(BACKOFF_S * 2**retries, BACKOFF_LIMIT_S)
+    return node.random.random() * limit_s
+
+
+async def _attempt(
+    node: Node, call: Call, rule: CallRule, account: Account, passage: Passage, member: Member
+) -> Outcome:
+    allowance = hand_out(account) if rule.calls else 0
+    started_at = node.timer.now()
+    begin_attempt(node.scores, member, started_at)
+    result = AttemptResult.CANCELLED
+    try:
+        outcome = await _reach(node, call, rule, allowance, passage, member)
+        result = _result_of(outcome)
+    finally:
+        now = node.timer.now()
+        end_attempt(node.scores, member, now - started_at, result, now)
+    give_back(account, min(outcome.allowance_left, allowance))
+    return outcome
+
+
+def _result_of(outcome: Outcome) -> AttemptResult:
+    if isinstance(outcome, NotRun):
+        refused_by_load = outcome.reason is not Reason.CONNECT_FAILED
+        return AttemptResult.REFUSED if refused_by_load else AttemptResult.FAILED
+    if isinstance(outcome, Answered) and outcome.status < 500:
+        return AttemptResult.ANSWERED
+    return AttemptResult.FAILED
+
+
+async def _reach(
+    node: Node, call: Call, rule: CallRule, allowance: int, passage: Passage, member: Member
+) -> Outcome:
+    if member.instance != node.settings.instance:
+        return await _forward(node, call, rule, allowance, member)
+    if rule.idempotent:
+        return await serve(node, call, allowance, passage)
+    return await _serve_to_the_end(node, call, allowance, passage)
+
+
+async def _serve_to_the_end(
+    node: Node, call: Call, allowance: int, passage: Passage
+) -> Outcome:
+    task = await spawn(serve, node, call, allowance, passage, daemon=True)
+    try:
+        return await timeout_after(call.deadline - node.timer.now(), task.join)
+    except TaskTimeout:
+        await _end_unless_sent(task, passage)
+        return Unknown(Reason.DEADLINE)
+    except BaseException:
+        await _end_unless_sent(task, passage)
+        raise
+
+
+async def _end_unless_sent(task: Task, passage: Passage) -> None:
+    if passage.cancellable:
+        await task.cancel(blocking=False)
+
+
+async def _forward(
+    node: Node, call: Call, rule: CallRule, allowance: int, member: Member
+) -> Outcome:
+    address, port = member.endpoints.address, member.endpoints.link_port
+    try:
+        link = await node.links.take(address, port, node.timer.now())
+    except LinkConnectError:
+        return NotRun(Reason.CONNECT_FAILED, RETRY_AFTER_S, allowance)
+    message = make_call_message(call, make_call_id(), _link_time_s(node, call), allowance)
+    try:
+        outcome = await _exchange(node, call, rule, link, message)
+    except BaseException:
+        await link.close()
+        raise
+    if outcome is None:
+        await link.close()
+        await node.links.distrust(address, port)
+        node.metrics.note_unknown(Reason.CONNECTION_LOST)
+        return Unknown(Reason.CONNECTION_LOST)
+    if isinstance(outcome, Unknown) and outcome.reason is Reason.CONNECTION_SILENT:
+        await link.close()
+        await node.links.distrust(address, port)
+        node.metrics.note_unknown(outcome.reason)
+        return outcome
+    await node.links.give(address, port, link, node.timer.now())
+    return outcome
+
+
+def _link_time_s(node: Node, call: Call) -> float:
+    return max(call.deadline - node.timer.now() - RETURN_MARGIN_S, 0.0)
+
+
+async def _exchange(
+    node: Node, call: Call, rule: CallRule, link: Link, message: CallMessage
+) -> Outcome | None:
+    """Return the outcome, or None if the link broke."""
+    try:
+        await link.send(message)
+        return await _await_reply(node, call, rule, link, message)
+    except TaskTimeout:
+        return Unknown(Reason.CONNECTION_SILENT)
+    except LinkBrokenError:
+        return None
+    except LinkMessageError:
+        node.metrics.note_bad_input("link")
+        return None
+
+
+async def _await_reply(
+    node: Node, call: Call, rule: CallRule, link: Link, message: CallMessage
+) -> Outcome | None:
+    while True:
+        time_left_s = call.deadline - node.timer.now()
+        limit_s = min(time_left_s, SILENCE_LIMIT_S) if rule.idempotent else time_left_s
+        reply = await timeout_after(max(limit_s, 0.0), link.receive)
+        if reply is None or reply.call_id != message.call_id:
+            return None
+        if not isinstance(reply, ProgressMessage):
+            return outcome_of(reply)
--- /dev/null
+++ b/src/pollenbay/commands/serving.py
@@ -0,0 +1,223 @@
+"""Serving a call on the target beside this node: admission, claim, sending, outcome."""
+
+from functools import singledispatch
+
+from curio import TaskTimeout, timeout_after
+
+from pollenbay.account import Account, make_account
+from pollenbay.call import Call, Passage
+from pollenbay.claim import Claim, ClaimRequest, fingerprint_of
+from pollenbay.commands.admission import abandon, admit, release
+from pollenbay.commands.claim import record_answer, release_claim, take_claim
+from pollenbay.contexts import Context
+from pollenbay.gate import Arrival, Refusal, Ticket, Waiter
+from pollenbay.http1 import (
+    HttpAnswerError,
+    HttpClient,
+    HttpConnectError,
+    HttpExchangeError,
+    HttpRequest,
+    end_to_end_headers,
+)
+from pollenbay.ids import ContextKey
+from pollenbay.ledger import Ledger
+from pollenbay.node import Node
+from pollenbay.outcome import Answered, Headers, NotRun, Outcome, Unknown
+from pollenbay.queries.rules import find_call
+from pollenbay.rule import CallRule
+from pollenbay.states import NodeState, Reason, TargetState
+from pollenbay.translation import CONTEXT_HEADER, DEADLINE_HEADER, KEY_HEADER, REQUEST_HEADER
+
+MS_PER_S = 1000.0
+RETRY_AFTER_S = 1.0
+#: How long past its deadline the answer of a non-idempotent call is still awaited and recorded.
+RECORD_GRACE_S = 10.0
+STATUS_SERVER_ERROR = 500
+
+
+async def serve(node: Node, call: Call, allowance: int, passage: Passage) -> Outcome:
+    """Run a call on the target beside this node.
+
+    :param allowance: retries handed out for what the target calls in turn.
+    :param passage: tells the watch whether the call may still be given up.
+    """
+    rule = find_call(node.rulebook, call.service, call.name)
+    reason = _reason_to_refuse(node, call, rule)
+    if reason is not None:
+        return _refuse(node, rule, NotRun(reason, RETRY_AFTER_S, allowance))
+    verdict = await _enter(node, call, rule)
+    if isinstance(verdict, Refusal):
+        return _refuse(node, rule, NotRun(verdict.reason, verdict.retry_after_s, allowance))
+    return await _serve_admitted(node, call, rule, allowance, passage, verdict)
+
+
+def _reason_to_refuse(node: Node, call: Call, rule: CallRule | None) -> Reason | None:
+    if rule is None or call.service != node.settings.service:
+        return Reason.UNKNOWN_CALL
+    if node.refusing or node.state is NodeState.STOPPED:
+        return Reason.DRAINING
+    if node.target.state is not TargetState.SERVING:
+        return Reason.NOT_READY
+    if node.timer.now() >= call.deadline:
+        return Reason.DEADLINE
+    return None
+
+
+def _refuse(node: Node, rule: CallRule | None, refusal: NotRun) -> NotRun:
+    node.metrics.note_refusal(rule.call_class if rule else None, refusal.reason)
+    return refusal
+
+
+async def _enter(node: Node, call: Call, rule: CallRule) -> Ticket | Refusal:
+    now = node.timer.now()
+    verdict = admit(node.gate, Arrival(rule.call_class, call.caller, call.deadline, now), now)
+    if not isinstance(verdict, Waiter):
+        return verdict
+    try:
+        await timeout_after(call.deadline - now, verdict.event.wait)
+    except TaskTimeout:
+        await wake(abandon(node.gate, verdict, node.timer.now()))
+        return Refusal(Reason.QUEUE_TIMEOUT, RETRY_AFTER_S)
+    except BaseException:
+        await wake(abandon(node.gate, verdict, node.timer.now()))
+        raise
+    node.metrics.note_queue(rule.call_class, node.timer.now() - now)
+    return verdict.decision
+
+
+async def wake(waiters: list[Waiter]) -> None:
+    """Wake the tasks of waiters that have just been granted or refused a slot."""
+    for waiter in waiters:
+        await waiter.event.set()
+
+
+async def _serve_admitted(
+    node: Node, call: Call, rule: CallRule, allowance: int, passage: Passage, ticket: Ticket
+) -> Outcome:
+    started_at = node.timer.now()
+    sound = False
+    try:
+        outcome = await _run(node, call, rule, allowance, passage)
+        sound = _is_sound(outcome)
+        return outcome
+    finally:
+        now = node.timer.now()
+        node.metrics.note_target(rule.call_class, now - started_at)
+        await wake(release(node.gate, ticket, now - started_at, sound, now))
+
+
+def _is_sound(outcome: Outcome) -> bool:
+    return isinstance(outcome, Answered) and outcome.status < STATUS_SERVER_ERROR
+
+
+async def _run(
+    node: Node, call: Call, rule: CallRule, allowance: int, passage: Passage
+) -> Outcome:
+    if rule.idempotent or call.idempotency_key is None:
+        return await _send(node, call, rule, allowance, passage)
+    passage.cancellable = False
+    claim = await take_claim(node.ledger, _claim_request(node, call))
+    if not isinstance(claim, Claim):
+        return claim
+    outcome = await _send(node, call, rule, allowance, passage)
+    await settle_claim(outcome, node.ledger, claim)
+    return outcome
+
+
+def _claim_request(node: Node, call: Call) -> ClaimRequest:
+    return ClaimRequest(
+        service=call.service,
+        call=call.name,
+        caller=call.caller,
+        key=call.idempotency_key,
+        fingerprint=fingerprint_of(call.service, call.name, call.path, call.body),
+        deadline_epoch_s=node.timer.epoch() + call.deadline - node.timer.now(),
+    )
+
+
+@singledispatch
+async def settle_claim(outcome: Outcome, ledger: Ledger, claim: Claim) -> None:
+    """Write down how a claimed call ended; an unknown outcome leaves the claim as it is."""
+
+
+@settle_claim.register
+async def _(outcome: Answered, ledger: Ledger, claim: Claim) -> None:
+    await record_answer(ledger, claim, outcome)
+
+
+@settle_claim.register
+async def _(outcome: NotRun, ledger: Ledger, claim: Claim) -> None:
+    await release_claim(ledger, claim)
+
+
+async def _send(
+    node: Node, call: Call, rule: CallRule, allowance: int, passage: Passage
+) -> Outcome:
+    try:
+        client = await node.target.take()
+    except HttpConnectError:
+        return _refuse(node, rule, NotRun(Reason.CONNECT_FAILED, RETRY_AFTER_S, allowance))
+    account = make_account(allowance)
+    key = node.contexts.open(
+        Context(call.request, call.caller, account, call.deadline, call.depth)
+    )
+    try:
+        return await _exchange(node, call, rule, account, passage, client, key)
+    finally:
+        node.contexts.close(key)
+
+
+async def _exchange(
+    node: Node,
+    call: Call,
+    rule: CallRule,
+    account: Account,
+    passage: Passage,
+    client: HttpClient,
+    key: ContextKey,
+) -> Outcome:
+    time_left_s = call.deadline - node.timer.now()
+    if time_left_s <= 0:
+        await node.target.give(client)
+        return _refuse(node, rule, NotRun(Reason.DEADLINE, 0.0, account.retries))
+    passage.cancellable = rule.idempotent
+    passage.sent = True
+    grace_s = 0.0 if rule.idempotent else RECORD_GRACE_S
+    request = _target_request(node, call, key, time_left_s)
+    try:
+        response = await timeout_after(time_left_s + grace_s, client.exchange, request)
+    except TaskTimeout:
+        reason = Reason.DEADLINE
+    except HttpExchangeError:
+        reason = Reason.CONNECTION_LOST
+    except HttpAnswerError:
+        node.metrics.note_bad_input("target")
+        reason = Reason.ANSWER_BROKEN
+    except BaseException:
+        await client.close()
+        raise
+    else:
+        await node.target.give(client)
+        headers = end_to_end_headers(response.headers)
+        return Answered(response.status, headers, response.body, account.retries)
+    await client.close()
+    node.metrics.note_unknown(reason)
+    return Unknown(reason, account.retries)
+
+
+def _target_request(node: Node, call: Call, key: ContextKey, time_left_s: float) -> HttpRequest:
+    address, port = node.target.endpoint
+    headers: Headers = [
+        (b"host", f"{address}:{port}".encode("ascii")),
+        *call.headers,
+        (CONTEXT_HEADER, key.encode("ascii")),
+        (REQUEST_HEADER, call.request.encode("ascii")),
+        (DEADLINE_HEADER, b"%d" % (time_left_s * MS_PER_S)),
+    ]
+    if call.idempotency_key is not None and not _has_key(call.headers):
+        headers.append((KEY_HEADER, call.idempotency_key.encode("latin-1")))
+    return HttpRequest(call.method.encode("ascii"), call.path.encode("ascii"), headers, call.body)
+
+
+def _has_key(headers: Headers) -> bool:
+    return any(name == KEY_HEADER for name, _ in headers)
--- /dev/null
+++ b/src/pollenbay/queries/retry.py
@@ -0,0 +1,40 @@
+"""Which outcomes another attempt may mend without running anything twice."""
+
+from functools import singledispatch
+
+from pollenbay.outcome import Answered, NotRun, Outcome, Unknown
+from pollenbay.rule import CallRule
+from pollenbay.states import Reason
+
+RETRIABLE_STATUSES = frozenset({502, 503, 504})
+RETRIABLE_REFUSALS = frozenset(
+    {
+        Reason.OVERLOAD,
+        Reason.QUEUE_TIMEOUT,
+        Reason.DRAINING,
+        Reason.NOT_READY,
+        Reason.CONNECT_FAILED,
+        Reason.UNKNOWN_CALL,
+    }
+)
+
+
+@singledispatch
+def is_retriable(outcome: Outcome, rule: CallRule) -> bool:
+    """Tell whether another attempt is allowed and may help."""
+    raise TypeError(f"not an outcome: {type(outcome).__name__}")
+
+
+@is_retriable.register
+def _(outcome: Answered, rule: CallRule) -> bool:
+    return rule.idempotent and outcome.status in RETRIABLE_STATUSES
+
+
+@is_retriable.register
+def _(outcome: NotRun, rule: CallRule) -> bool:
+    return outcome.reason in RETRIABLE_REFUSALS
+
+
+@is_retriable.register
+def _(outcome: Unknown, rule: CallRule) -> bool:
+    return rule.idempotent
