--- /dev/null
+++ b/src/pollenbay/arrival.py
@@ -0,0 +1,63 @@
+"""What passes through the gate of a target: arrivals, tickets, waiters and refusals."""
+
+from dataclasses import dataclass, field
+
+from curio import Event
+
+from pollenbay.ids import CallerId
+from pollenbay.states import CallClass, Reason
+
+
+@dataclass(frozen=True, slots=True)
+class Arrival:
+    """A call that asks for a slot.
+
+    :param call_class: class of the request that it belongs to.
+    :param deadline: monotonic seconds after which its answer is worthless.
+    :param arrived_at: monotonic seconds.
+    :param expected_s: seconds that the target is expected to take; 0 if not known.
+    """
+
+    call_class: CallClass
+    caller: CallerId
+    deadline: float
+    arrived_at: float
+    expected_s: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """The call was not admitted and the target saw nothing of it.
+
+    :param retry_after_s: seconds after which the caller may try again.
+    """
+
+    reason: Reason
+    retry_after_s: float
+
+
+@dataclass(slots=True, eq=False)
+class Ticket:
+    """The right to occupy one slot until it is released.
+
+    :param admitted_at: monotonic seconds.
+    """
+
+    arrival: Arrival
+    admitted_at: float
+    released: bool = False
+
+
+@dataclass(slots=True, eq=False)
+class Waiter:
+    """A queued arrival; `decision` is set before its event is.
+
+    :param level: place of its queue, 0 first; see `pollenbay.waiting`.
+    :param displaced: a waiter that lost its place to this one; its event is to be set.
+    """
+
+    arrival: Arrival
+    level: int
+    event: Event = field(default_factory=Event)
+    decision: Ticket | Refusal | None = None
+    displaced: "Waiter | None" = None
--- /dev/null
+++ b/src/pollenbay/commands/admission.py
@@ -0,0 +1,141 @@
+"""Decisions at the gate of a target: admit, queue or refuse; release; expire.
+
+Functions return the waiters that they settled; the caller sets the events of these.
+"""
+
+from pollenbay.gate import Arrival, Gate, Refusal, Ticket, Waiter
+from pollenbay.queries.admission import can_meet_deadline, has_slot
+from pollenbay.states import Reason
+from pollenbay.waiting import level_of
+
+
+def admit(gate: Gate, arrival: Arrival, now: float) -> Ticket | Waiter | Refusal:
+    """Let an arrival in, queue it or refuse it.
+
+    A `Waiter` may have displaced another one, whose event has to be set.
+    """
+    rank = arrival.call_class.rank
+    gate.shedding.arrive(rank, now)
+    if not can_meet_deadline(gate, arrival, now):
+        return _refusal(gate, arrival, Reason.DEADLINE)
+    if has_slot(gate) and not gate.line:
+        return _enter(gate, arrival, now)
+    over_share = gate.shares.over_share(rank, arrival.caller, gate.limit.value)
+    level = level_of(rank, over_share)
+    displaced = None
+    if len(gate.line) >= gate.queue_bound:
+        if not _may_displace(gate, level, now):
+            reason = Reason.CALLER_SHARE if over_share else Reason.OVERLOAD
+            return _refusal(gate, arrival, reason)
+        displaced = _displace(gate, now)
+    return _queue(gate, Waiter(arrival, level, displaced=displaced), now)
+
+
+def release(gate: Gate, ticket: Ticket, latency_s: float, ok: bool, now: float) -> list[Waiter]:
+    """Take a ticket back and return the waiters that were settled by it.
+
+    :param latency_s: seconds from the sending of the call to the end of its answer.
+    :param ok: whether the target answered; a call cut short or failed is not ok.
+    """
+    if ticket.released:
+        return []
+    arrival = ticket.arrival
+    rank = arrival.call_class.rank
+    gate.limit.observe(rank, latency_s, ok, ticket.admitted_at, gate.in_flight, now)
+    _give_up_slot(gate, ticket)
+    return _grant(gate, now)
+
+
+def abandon(gate: Gate, waiter: Waiter, now: float) -> list[Waiter]:
+    """Take a waiter out that gave up, or its ticket if it was granted meanwhile."""
+    if isinstance(waiter.decision, Ticket):
+        if waiter.decision.released:
+            return []
+        _give_up_slot(gate, waiter.decision)
+        return _grant(gate, now)
+    if waiter.decision is None and gate.line.remove(waiter):
+        _refuse(gate, waiter, Reason.CANCELLED)
+    return []
+
+
+def expire(gate: Gate, now: float) -> list[Waiter]:
+    """Drop waiters that cannot make their deadline and fill free slots."""
+    gate.shedding.end_period(now)
+    settled = [waiter for waiter in gate.line if not can_meet_deadline(gate, waiter.arrival, now)]
+    for waiter in settled:
+        gate.line.remove(waiter)
+        _refuse(gate, waiter, Reason.QUEUE_TIMEOUT)
+    return settled + _grant(gate, now)
+
+
+def set_slots(gate: Gate, slots: int) -> None:
+    """Adapt to other announced slots; slots won are filled at the next `expire`."""
+    gate.limit.set_slots(slots)
+
+
+def resume(gate: Gate, now: float) -> None:
+    """Begin anew with a target that has just started and is cold."""
+    gate.limit.start_cold(now)
+
+
+def _may_displace(gate: Gate, level: int, now: float) -> bool:
+    last = gate.line.last_level()
+    if level == last:
+        return gate.line.levels[level].newest_first(now)
+    return level < last
+
+
+def _displace(gate: Gate, now: float) -> Waiter:
+    waiter = gate.line.pop_last(now)
+    _refuse(gate, waiter, Reason.OVERLOAD)
+    return waiter
+
+
+def _queue(gate: Gate, waiter: Waiter, now: float) -> Waiter:
+    gate.line.add(waiter, now)
+    gate.shares.add(waiter.arrival.call_class.rank, waiter.arrival.caller)
+    return waiter
+
+
+def _enter(gate: Gate, arrival: Arrival, now: float) -> Ticket:
+    gate.shares.add(arrival.call_class.rank, arrival.caller)
+    return _ticket(gate, arrival, now)
+
+
+def _ticket(gate: Gate, arrival: Arrival, now: float) -> Ticket:
+    rank = arrival.call_class.rank
+    gate.enter()
+    gate.shedding.grant(rank)
+    if arrival.deadline - now < gate.limit.means_s[rank]:
+        gate.limit.touch(rank, now)
+    return Ticket(arrival, now)
+
+
+def _give_up_slot(gate: Gate, ticket: Ticket) -> None:
+    ticket.released = True
+    gate.leave()
+    gate.shares.remove(ticket.arrival.call_class.rank, ticket.arrival.caller)
+
+
+def _grant(gate: Gate, now: float) -> list[Waiter]:
+    settled: list[Waiter] = []
+    while has_slot(gate):
+        waiter = gate.line.pop(now)
+        if waiter is None:
+            gate.shedding.note_spare()
+            break
+        if can_meet_deadline(gate, waiter.arrival, now):
+            waiter.decision = _ticket(gate, waiter.arrival, now)
+        else:
+            _refuse(gate, waiter, Reason.QUEUE_TIMEOUT)
+        settled.append(waiter)
+    return settled
+
+
+def _refuse(gate: Gate, waiter: Waiter, reason: Reason) -> None:
+    gate.shares.remove(waiter.arrival.call_class.rank, waiter.arrival.caller)
+    waiter.decision = _refusal(gate, waiter.arrival, reason)
+
+
+def _refusal(gate: Gate, arrival: Arrival, reason: Reason) -> Refusal:
+    return Refusal(reason, gate.shedding.retry_after_s(arrival.call_class.rank))
--- /dev/null
+++ b/src/pollenbay/subset.py
@@ -0,0 +1,57 @@
+"""The members of a service that one node calls: the nearest ones, spread over the nodes."""
+
+from hashlib import blake2b
+
+from pollenbay.ids import HostId, InstanceId, ServiceName
+from pollenbay.score import Candidates
+from pollenbay.states import MemberState
+from pollenbay.view import Member, Place, View
+
+#: Members of a service that one node calls.
+SUBSET_MEMBERS = 16
+WEIGHT_BYTES = 8
+
+
+def make_candidates(view: View, service: ServiceName, origin: Place, now: float) -> Candidates:
+    """Return the lists for calls of a service from a place.
+
+    Members of equal distance are ordered by a hash of both ends, so that the subsets of all nodes
+    together load every member alike and change little when a member comes or goes.
+    """
+    members = list(view.of_service(service))
+    serving = [member for member in members if member.state is MemberState.SERVING]
+    ordered = _by_distance(serving, origin)
+    subset = ordered[:SUBSET_MEMBERS]
+    return Candidates(
+        changes=view.changes_of(service),
+        made_at=now,
+        near=[member.instance for member in _nearest(subset, origin)],
+        subset=[member.instance for member in subset],
+        spare=[member.instance for member in ordered[SUBSET_MEMBERS:]],
+        suspects=[member.instance for member in members if member.state is MemberState.SUSPECT],
+    )
+
+
+def distance(place: Place, origin: Place) -> int:
+    """Return 0 in the same zone, 1 in the same region, 2 beyond."""
+    if place.region != origin.region:
+        return 2
+    return int(place.zone != origin.zone)
+
+
+def _by_distance(members: list[Member], origin: Place) -> list[Member]:
+    def key(member: Member) -> tuple[int, bytes]:
+        return distance(member.place, origin), _weight(origin.host, member.instance)
+
+    return sorted(members, key=key)
+
+
+def _nearest(subset: list[Member], origin: Place) -> list[Member]:
+    if not subset:
+        return []
+    least = distance(subset[0].place, origin)
+    return [member for member in subset if distance(member.place, origin) == least]
+
+
+def _weight(origin: HostId, instance: InstanceId) -> bytes:
+    return blake2b(f"{origin} {instance}".encode(), digest_size=WEIGHT_BYTES).digest()
--- a/src/pollenbay/view.py
+++ b/src/pollenbay/view.py
@@ -75,6 +75,7 @@
     def __init__(self) -> None:
         self._members: dict[InstanceId, Member] = {}
         self._by_service: dict[ServiceName, dict[InstanceId, Member]] = {}
+        self._changes: dict[ServiceName, int] = {}
 
     @property
     def members(self) -> dict[InstanceId, Member]:
@@ -85,17 +86,34 @@
         """Return the members of a service."""
         return self._by_service.get(service, {}).values()
 
+    def changes_of(self, service: ServiceName) -> int:
+        """Return a count that grows when a member comes, goes, or changes state or place."""
+        return self._changes.get(service, 0)
+
     def put(self, member: Member) -> None:
         """Add a member or replace what was known of it."""
-        self.remove(member.instance)
+        old = self._members.get(member.instance)
+        if old is not None and old.service != member.service:
+            self.remove(member.instance)
+            old = None
         self._members[member.instance] = member
         self._by_service.setdefault(member.service, {})[member.instance] = member
+        if old is None or _changes_candidates(old, member):
+            self._count_change(member.service)
 
     def remove(self, instance: InstanceId) -> None:
         """Forget a member, if it is known."""
         member = self._members.pop(instance, None)
         if member is not None:
             self._by_service[member.service].pop(instance, None)
+            self._count_change(member.service)
+
+    def _count_change(self, service: ServiceName) -> None:
+        self._changes[service] = self._changes.get(service, 0) + 1
+
+
+def _changes_candidates(old: Member, new: Member) -> bool:
+    return old.state is not new.state or old.place != new.place
 
 
 def make_view() -> View:
