Stand in for the platform: table service and object store with faults

The table and its clients need a service to talk to in tests and the demo. It applies transactions whole or not at all, keeps a version counter for each key across removal, and can be down, slow, lose answers after the write, or show reads as of an earlier moment.

--- /dev/null
+++ b/src/standins/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Everything that changes the state of a stand-in."""
--- /dev/null
+++ b/src/standins/commands/store.py
@@ -0,0 +1,92 @@
+"""Changes to the platform stand-in."""
+
+from functools import singledispatch
+
+from pollenbay.ids import RowKey, RowVersion
+from pollenbay.table import Row, Transaction, Write
+from standins.store import AnyMode, LoseAnswers, StaleReads, Store, Up
+
+
+def apply_transaction(store: Store, transaction: Transaction) -> RowKey | None:
+    """Apply all writes if all checks hold.
+
+    :returns: the key of the check that failed, or None.
+    """
+    for check in transaction.checks:
+        if _current_version(store, check.key) != check.version:
+            store.counts.conflicts += 1
+            return check.key
+    for write in transaction.writes:
+        _apply_write(store, write)
+    store.counts.transactions += 1
+    return None
+
+
+def put_object(store: Store, name: str, content: bytes) -> None:
+    """Keep an object, in place of one with the same name."""
+    store.objects[name] = content
+    store.counts.writes += 1
+
+
+def set_mode(store: Store, mode: AnyMode) -> None:
+    """Put a fault in force in place of the last one."""
+    store.mode = mode
+    store.seen_rows = _rows_to_show(mode, store)
+
+
+@singledispatch
+def lose_answer(mode: AnyMode, store: Store) -> bool:
+    """Tell whether the answer to a write that took effect is to be lost, and count it."""
+    return False
+
+
+@lose_answer.register
+def _(mode: LoseAnswers, store: Store) -> bool:
+    store.counts.lost += 1
+    if mode.count is not None:
+        mode.count -= 1
+        if mode.count <= 0:
+            set_mode(store, Up())
+    return True
+
+
+def admit_read(store: Store, now: float) -> bool:
+    """Count a read, unless it is past the cap."""
+    if not store.read_bucket.take(1, now):
+        store.counts.limited += 1
+        return False
+    store.counts.reads += 1
+    return True
+
+
+def admit_write(store: Store, rows: int, now: float) -> bool:
+    """Tell whether so many rows may be written under the cap."""
+    if not store.write_bucket.take(rows, now):
+        store.counts.limited += 1
+        return False
+    return True
+
+
+def _current_version(store: Store, key: RowKey) -> int:
+    row = store.rows.get(key)
+    return 0 if row is None else row.version
+
+
+def _apply_write(store: Store, write: Write) -> None:
+    version = store.versions.get(write.key, 0) + 1
+    store.versions[write.key] = version
+    store.counts.writes += 1
+    if write.value is None:
+        store.rows.pop(write.key, None)
+        return
+    store.rows[write.key] = Row(write.key, RowVersion(version), write.value)
+
+
+@singledispatch
+def _rows_to_show(mode: AnyMode, store: Store) -> dict[RowKey, Row]:
+    return store.rows
+
+
+@_rows_to_show.register
+def _(mode: StaleReads, store: Store) -> dict[RowKey, Row]:
+    return dict(store.rows)
--- /dev/null
+++ b/src/standins/queries/__init__.py
@@ -0,0 +1,1 @@
+"""Everything that only reads the state of a stand-in."""
--- /dev/null
+++ b/src/standins/queries/store.py
@@ -0,0 +1,47 @@
+"""Questions to the platform stand-in."""
+
+from functools import singledispatch
+from heapq import nsmallest
+
+from pollenbay.ids import RowKey
+from pollenbay.table import Rows
+from standins.store import AnyMode, Down, Slow, Store
+
+
+def find_row(store: Store, key: RowKey) -> Rows:
+    """Return one row, or none if it is absent."""
+    row = store.seen_rows.get(key)
+    return Rows([] if row is None else [row])
+
+
+def find_rows(store: Store, prefix: str, after: str, limit: int) -> Rows:
+    """Return rows by key whose key starts with `prefix` and is past `after`."""
+    matching = (key for key in store.seen_rows if key.startswith(prefix) and key > after)
+    return Rows([store.seen_rows[key] for key in nsmallest(limit, matching)])
+
+
+def find_object(store: Store, name: str) -> bytes | None:
+    """Return the content of an object, or None if there is none."""
+    return store.objects.get(name)
+
+
+@singledispatch
+def is_down(mode: AnyMode) -> bool:
+    """Tell whether a request ends with a closed connection."""
+    return False
+
+
+@is_down.register
+def _(mode: Down) -> bool:
+    return True
+
+
+@singledispatch
+def answer_delay_s(mode: AnyMode) -> float:
+    """Return the delay of each answer in seconds."""
+    return 0.0
+
+
+@answer_delay_s.register
+def _(mode: Slow) -> float:
+    return mode.delay_s
