--- a/src/standins/listener.py
+++ b/src/standins/listener.py
@@ -2,22 +2,20 @@
 
 from collections.abc import Awaitable, Callable
 
-from curio import socket, spawn, tcp_server_socket
 from curio.io import Socket
 from msgspec import Struct
 from msgspec.json import encode
 
 from pollenbay.http1 import HttpRequest, HttpRequestError, HttpResponse, HttpServer
 from pollenbay.outcome import Headers
+from pollenbay.stream import accept_streams
 
 LISTEN_ADDRESS = "127.0.0.1"
-LISTEN_BACKLOG = 4096
 JSON_HEADERS: Headers = [(b"content-type", b"application/json")]
 TEXT_HEADERS: Headers = [(b"content-type", b"text/plain; charset=utf-8")]
 
 #: Answers one request; None closes the connection without an answer.
 Handler = Callable[[HttpRequest], Awaitable[HttpResponse | None]]
-Serve = Callable[[Socket], Awaitable[None]]
 
 
 class Ready(Struct, omit_defaults=True):
@@ -32,36 +30,18 @@
     control_port: int = 0
 
 
-def make_listener(port: int) -> Socket:
-    """Return a listening socket; port 0 takes any free one."""
-    return tcp_server_socket(LISTEN_ADDRESS, port, backlog=LISTEN_BACKLOG)
-
-
-def port_of(listener: Socket) -> int:
-    """Return the port of a listening socket."""
-    return listener.getsockname()[1]
-
-
 def print_ready(port: int, control_port: int = 0) -> None:
     """Tell whoever started the process that it listens."""
     print(encode(Ready(ready=True, port=port, control_port=control_port)).decode(), flush=True)
 
 
-async def accept_connections(listener: Socket, serve: Serve) -> None:
-    """Accept for good, with a task for each connection."""
-    while True:
-        sock, _ = await listener.accept()
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        await spawn(_serve_and_close, serve, sock, daemon=True)
-
-
 async def accept_http(listener: Socket, handle: Handler) -> None:
     """Accept for good, with a task for each connection that answers one request at a time."""
 
     async def serve(sock: Socket) -> None:
         await _serve_http(HttpServer(sock), handle)
 
-    await accept_connections(listener, serve)
+    await accept_streams(listener, serve)
 
 
 async def read_or_refuse(server: HttpServer) -> HttpRequest | None:
@@ -83,14 +63,6 @@
     return HttpResponse(status, list(TEXT_HEADERS), text.encode("utf-8"))
 
 
-async def _serve_and_close(serve: Serve, sock: Socket) -> None:
-    async with sock:
-        try:
-            await serve(sock)
-        except OSError:
-            return
-
-
 async def _serve_http(server: HttpServer, handle: Handler) -> None:
     while (request := await read_or_refuse(server)) is not None:
         response = await handle(request)
--- a/src/standins/platform.py
+++ b/src/standins/platform.py
@@ -14,6 +14,7 @@
 
 from pollenbay.http1 import HttpRequest, HttpResponse
 from pollenbay.ids import RowKey
+from pollenbay.stream import listen, port_of
 from pollenbay.table import SCAN_LIMIT_ROWS, Rows, Transaction
 from standins.commands.store import (
     admit_read,
@@ -24,10 +25,9 @@
     set_mode,
 )
 from standins.listener import (
+    LISTEN_ADDRESS,
     accept_http,
     json_response,
-    make_listener,
-    port_of,
     print_ready,
     text_response,
 )
@@ -131,7 +131,7 @@
 
 async def serve_platform(port: int, store: Store) -> None:
     """Listen for good."""
-    listener = make_listener(port)
+    listener = listen(LISTEN_ADDRESS, port)
     print_ready(port_of(listener))
     await accept_http(listener, Platform(store).handle)
 
