--- /dev/null
+++ b/src/standins/commands/target.py
@@ -0,0 +1,48 @@
+"""Changes to the state of the target stand-in."""
+
+from pollenbay.ids import CallName
+from standins.target_state import Faults, LoadSample, Run, TargetStore
+
+
+def begin_run(
+    store: TargetStore, call: CallName, idempotency_key: str | None, marker: str, now: float
+) -> Run:
+    """Note that a call got a slot."""
+    run = Run(call, idempotency_key, marker, now)
+    store.runs.append(run)
+    store.counts.started += 1
+    return run
+
+
+def finish_run(store: TargetStore, run: Run) -> None:
+    """Note that the work of a call came to its end."""
+    run.finished = True
+    store.counts.finished += 1
+
+
+def set_faults(store: TargetStore, faults: Faults) -> None:
+    """Put faults in force in place of all earlier ones."""
+    store.faults = faults
+
+
+def draw_failure(store: TargetStore) -> bool:
+    """Tell whether the next call fails by the fault."""
+    return store.random.random() < store.faults.fail_rate
+
+
+def draw_service_time(store: TargetStore, call: CallName, now: float) -> float:
+    """Return the time in seconds for which a call holds its slot by itself."""
+    settings = store.settings
+    seconds = store.calls[call].service_ms / 1000.0 * store.faults.service_time_factor
+    if now - store.started_at < settings.cold_start_s:
+        seconds *= settings.cold_factor
+    return seconds * store.random.uniform(1.0 - settings.jitter, 1.0 + settings.jitter)
+
+
+def sample_load(store: TargetStore, now: float) -> LoadSample:
+    """Note the load of this moment and return the one to report, which may be older."""
+    store.samples.append(LoadSample(now, store.in_flight))
+    newest_to_report = now - store.faults.load_lag_s
+    while len(store.samples) > 1 and store.samples[1].at <= newest_to_report:
+        store.samples.popleft()
+    return store.samples[0]
--- /dev/null
+++ b/src/standins/pool.py
@@ -0,0 +1,52 @@
+"""Kept HTTP connections to one server."""
+
+from pollenbay.http1 import HttpClient, HttpRequest, HttpResponse, connect_http
+from pollenbay.stream import peer_has_closed
+
+
+class Pool:
+    """Idle connections, as many as were ever needed at once.
+
+    :param address: IP number of the server.
+    """
+
+    def __init__(self, address: str, port: int) -> None:
+        self._address = address
+        self._port = port
+        self._host = f"{address}:{port}".encode("ascii")
+        self._idle: list[HttpClient] = []
+
+    @property
+    def host(self) -> bytes:
+        """Return the value for the host header."""
+        return self._host
+
+    async def exchange(self, request: HttpRequest) -> HttpResponse:
+        """Send a request and return the whole response.
+
+        :raises pollenbay.http1.HttpError: if that fails.
+        """
+        client = await self._connection()
+        try:
+            response = await client.exchange(request)
+        except BaseException:
+            await client.close()
+            raise
+        if client.reusable:
+            self._idle.append(client)
+        else:
+            await client.close()
+        return response
+
+    async def _connection(self) -> HttpClient:
+        while self._idle:
+            client = self._idle.pop()
+            if not peer_has_closed(client.sock):
+                return client
+            await client.close()
+        return await connect_http(self._address, self._port)
+
+
+def make_pool(address: str, port: int) -> Pool:
+    """Return a pool without connections."""
+    return Pool(address, port)
