--- a/src/pollenbay/call.py
+++ b/src/pollenbay/call.py
@@ -3,8 +3,16 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from pollenbay.ids import CallerId, CallName, IdempotencyKey, RequestId, ServiceName
+from pollenbay.ids import (
+    CallerId,
+    CallName,
+    ContextKey,
+    IdempotencyKey,
+    RequestId,
+    ServiceName,
+)
 from pollenbay.outcome import Headers
+from pollenbay.states import CallClass
 
 
 class Entrance(Enum):
@@ -14,11 +22,33 @@
     TARGET = "target"
 
 
+@dataclass(slots=True)
+class Asked:
+    """What a caller or a target asks for, before the rules are applied.
+
+    :param path: path and query as the target gets it.
+    :param context: names the call that a target is serving while it makes this one.
+    :param wait_s: longest time in seconds that the caller waits, if it says so.
+    """
+
+    service: ServiceName
+    name: CallName
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    caller: CallerId | None = None
+    context: ContextKey | None = None
+    idempotency_key: IdempotencyKey | None = None
+    wait_s: float | None = None
+
+
 @dataclass(slots=True)
 class Call:
     """A call on its way.
 
     :param request: the outside request to which it belongs.
+    :param call_class: class of that request, which holds for all calls of its chain.
     :param path: path and query as the target gets it.
     :param deadline: monotonic seconds by which the answer must be with its caller.
     """
@@ -26,6 +56,7 @@
     request: RequestId
     service: ServiceName
     name: CallName
+    call_class: CallClass
     caller: CallerId
     method: str
     path: str
--- /dev/null
+++ b/src/pollenbay/callers.py
@@ -0,0 +1,158 @@
+"""HTTP front end for callers and for the target's own calls: one task for each connection."""
+
+from collections.abc import Awaitable, Callable
+from enum import Enum
+
+from curio import TaskTimeout, current_task, schedule, timeout_after
+from curio.io import Socket
+from msgspec import MsgspecError
+from msgspec.json import decode
+
+from pollenbay.announcement import ANNOUNCE_PATH, Announcement
+from pollenbay.call import Asked, Passage
+from pollenbay.commands.announcing import hear_target
+from pollenbay.commands.entry import enter_from_caller, enter_from_target
+from pollenbay.http1 import HttpRequest, HttpRequestError, HttpResponse, HttpServer
+from pollenbay.ids import CallerId
+from pollenbay.metrics import ANSWERED, NOT_RUN, UNKNOWN
+from pollenbay.node import Node
+from pollenbay.outcome import Answered, NotRun, Outcome
+from pollenbay.queries.rules import find_call
+from pollenbay.states import NodeState, Reason
+from pollenbay.translation import (
+    TranslationError,
+    read_asked,
+    response_of,
+    response_to_bad_request,
+)
+from pollenbay.watch import Watched
+
+#: A connection that always has a next request lets the other tasks run after so many.
+REQUESTS_PER_TURN = 8
+STATUS_NO_CONTENT = 204
+STATUS_BAD_REQUEST = 400
+
+Respond = Callable[[Node, Socket, HttpRequest], Awaitable[HttpResponse]]
+
+
+class Source(Enum):
+    """Listener on which bad input was counted."""
+
+    CALLERS = "callers"
+    OUTBOUND = "outbound"
+
+
+class Callers:
+    """Counts the connections of outside callers and holds them under the limit."""
+
+    def __init__(self) -> None:
+        self._connections = 0
+
+    @property
+    def connections(self) -> int:
+        """Return how many connections are open."""
+        return self._connections
+
+    async def serve(self, node: Node, sock: Socket) -> None:
+        """Serve one connection until it closes."""
+        if self._connections >= node.settings.limits.caller_connections:
+            return
+        self._connections += 1
+        try:
+            await _serve_requests(node, sock, Source.CALLERS, _respond_to_caller)
+        finally:
+            self._connections -= 1
+
+
+def make_callers() -> Callers:
+    """Return a count of no connections."""
+    return Callers()
+
+
+async def serve_target(node: Node, sock: Socket) -> None:
+    """Serve one connection of the target beside this node until it closes."""
+    await _serve_requests(node, sock, Source.OUTBOUND, _respond_to_target)
+
+
+async def _serve_requests(node: Node, sock: Socket, source: Source, respond: Respond) -> None:
+    server = HttpServer(sock, node.settings.limits.body_bytes)
+    served = 0
+    while True:
+        request = await _read_request(node, server, source)
+        if request is None:
+            return
+        response = await respond(node, sock, request)
+        if node.state is NodeState.DRAINING:
+            response.headers.append((b"connection", b"close"))
+        if not await server.write_response(response):
+            return
+        served += 1
+        if served % REQUESTS_PER_TURN == 0:
+            await schedule()
+
+
+async def _read_request(node: Node, server: HttpServer, source: Source) -> HttpRequest | None:
+    try:
+        return await timeout_after(node.settings.limits.caller_idle_s, server.read_request)
+    except TaskTimeout:
+        return None
+    except HttpRequestError as error:
+        node.metrics.note_bad_input(source.value)
+        await server.write_failure(response_to_bad_request(error.status))
+        return None
+
+
+async def _respond_to_caller(node: Node, sock: Socket, request: HttpRequest) -> HttpResponse:
+    origin = CallerId(sock.getpeername()[0])
+    started_at = node.timer.now()
+    try:
+        asked = read_asked(request)
+    except TranslationError:
+        return _refuse_bad(node, Source.CALLERS)
+    passage = Passage()
+    with node.watch.over(Watched(sock, await current_task(), passage)):
+        outcome = await enter_from_caller(node, asked, origin, passage)
+    _note_call(node, asked, asked.caller or origin, outcome, node.timer.now() - started_at)
+    return response_of(outcome)
+
+
+async def _respond_to_target(node: Node, sock: Socket, request: HttpRequest) -> HttpResponse:
+    if request.target == ANNOUNCE_PATH.encode("ascii"):
+        return _hear_announcement(node, request)
+    try:
+        asked = read_asked(request)
+    except TranslationError:
+        return _refuse_bad(node, Source.OUTBOUND)
+    passage = Passage()
+    with node.watch.over(Watched(sock, await current_task(), passage)):
+        outcome = await enter_from_target(node, asked, passage)
+    return response_of(outcome)
+
+
+def _hear_announcement(node: Node, request: HttpRequest) -> HttpResponse:
+    try:
+        announcement = decode(request.body, type=Announcement)
+    except MsgspecError:
+        node.metrics.note_bad_input(Source.OUTBOUND.value)
+        return response_to_bad_request(STATUS_BAD_REQUEST)
+    hear_target(node, announcement, node.timer.now())
+    return HttpResponse(STATUS_NO_CONTENT, [])
+
+
+def _refuse_bad(node: Node, source: Source) -> HttpResponse:
+    node.metrics.note_bad_input(source.value)
+    return response_of(NotRun(Reason.BAD_REQUEST))
+
+
+def _note_call(
+    node: Node, asked: Asked, caller: CallerId, outcome: Outcome, seconds: float
+) -> None:
+    rule = find_call(node.rulebook, asked.service, asked.name)
+    call_class = None if rule is None else rule.call_class
+    node.metrics.note_call(call_class, _outcome_label(outcome), caller, seconds)
+
+
+def _outcome_label(outcome: Outcome) -> str:
+    if isinstance(outcome, Answered):
+        return ANSWERED
+    return NOT_RUN if isinstance(outcome, NotRun) else UNKNOWN
--- a/src/pollenbay/commands/calling.py
+++ b/src/pollenbay/commands/calling.py
@@ -5,7 +5,7 @@
 from pollenbay.account import Account
 from pollenbay.call import Call, Entrance, Passage
 from pollenbay.commands.retry import give_back, hand_out, note_first, take_retry
-from pollenbay.commands.routing import begin_attempt, end_attempt
+from pollenbay.commands.routing import begin_attempt, end_attempt, pick
 from pollenbay.commands.serving import serve
 from pollenbay.ids import InstanceId, make_call_id
 from pollenbay.link import Link, LinkBrokenError, LinkConnectError, LinkMessageError
@@ -14,7 +14,6 @@
 from pollenbay.outcome import Answered, NotRun, Outcome, Unknown
 from pollenbay.queries.pressure import refuse_at_entry
 from pollenbay.queries.retry import is_retriable
-from pollenbay.queries.routing import pick
 from pollenbay.queries.rules import find_call
 from pollenbay.rule import CallRule
 from pollenbay.score import AttemptResult
@@ -56,17 +55,17 @@
     node: Node, call: Call, rule: CallRule, account: Account, passage: Passage
 ) -> Outcome:
     excluded: frozenset[InstanceId] = frozenset()
-    note_first(node.budget, rule.call_class, node.timer.now())
+    note_first(node.budget, call.call_class, node.timer.now())
     retries = 0
     while True:
         member = _choose(node, call, excluded)
         if member is None:
             return NotRun(Reason.NO_TARGET, RETRY_AFTER_S)
-        node.metrics.note_attempt(rule.call_class, retries > 0)
+        node.metrics.note_attempt(call.call_class, retries > 0)
         outcome = await _attempt(node, call, rule, account, passage, member)
         if not is_retriable(outcome, rule) or not _has_time(node, call):
             return outcome
-        if not take_retry(account, node.budget, rule.call_class, node.timer.now()):
+        if not take_retry(account, node.budget, call.call_class, node.timer.now()):
             return outcome
         excluded = excluded | {member.instance}
         await sleep(_backoff_s(node, retries))
@@ -105,7 +104,7 @@
     finally:
         now = node.timer.now()
         end_attempt(node.scores, member, now - started_at, result, now)
-    give_back(account, min(outcome.allowance_left, allowance))
+    give_back(account, outcome.allowance_left, allowance)
     return outcome
 
 
@@ -128,9 +127,7 @@
     return await _serve_to_the_end(node, call, allowance, passage)
 
 
-async def _serve_to_the_end(
-    node: Node, call: Call, allowance: int, passage: Passage
-) -> Outcome:
+async def _serve_to_the_end(node: Node, call: Call, allowance: int, passage: Passage) -> Outcome:
     task = await spawn(serve, node, call, allowance, passage, daemon=True)
     try:
         return await timeout_after(call.deadline - node.timer.now(), task.join)
--- a/src/pollenbay/commands/entry.py
+++ b/src/pollenbay/commands/entry.py
@@ -1,7 +1,7 @@
 """Entry of calls: from what was asked to a call with a deadline and an allowance of retries."""
 
 from pollenbay.account import make_account
-from pollenbay.call import Call, Entrance, Passage
+from pollenbay.call import Asked, Call, Entrance, Passage
 from pollenbay.commands.calling import place
 from pollenbay.contexts import Context
 from pollenbay.ids import CallerId, make_request_id
@@ -10,13 +10,12 @@
 from pollenbay.queries.rules import find_call
 from pollenbay.rule import CallRule
 from pollenbay.states import Reason
-from pollenbay.translation import Asked
 
 MS_PER_S = 1000.0
 
 
 async def enter_from_caller(
-    node: Node, asked: Asked, method: str, body: bytes, origin: CallerId, passage: Passage
+    node: Node, asked: Asked, origin: CallerId, passage: Passage
 ) -> Outcome:
     """Place a call of an outside caller; the allowance of its whole chain is granted here.
 
@@ -25,13 +24,13 @@
     rule = find_call(node.rulebook, asked.service, asked.name)
     if rule is None:
         return NotRun(Reason.UNKNOWN_CALL)
-    call = _make_call(node, asked, method, body, rule, asked.caller or origin)
-    return await place(node, call, make_account(rule.retries), Entrance.CALLER, passage)
+    call = _make_call(node, asked, rule, asked.caller or origin)
+    return await place(
+        node, call, make_account(rule.retries, call.deadline), Entrance.CALLER, passage
+    )
 
 
-async def enter_from_target(
-    node: Node, asked: Asked, method: str, body: bytes, passage: Passage
-) -> Outcome:
+async def enter_from_target(node: Node, asked: Asked, passage: Passage) -> Outcome:
     """Place a call that the target beside this node makes for a call that it is serving.
 
     Without a context the call is placed too, but never retried.
@@ -41,19 +40,17 @@
         return NotRun(Reason.UNKNOWN_CALL)
     if asked.context is None:
         origin = CallerId(node.settings.service)
-        call = _make_call(node, asked, method, body, rule, origin)
-        return await place(node, call, make_account(0), Entrance.TARGET, passage)
+        call = _make_call(node, asked, rule, origin)
+        return await place(node, call, make_account(0, call.deadline), Entrance.TARGET, passage)
     context = node.contexts.find(asked.context)
     if context is None:
         return NotRun(Reason.BAD_CONTEXT)
-    call = _make_call(node, asked, method, body, rule, context.caller)
+    call = _make_call(node, asked, rule, context.caller)
     _join(call, context)
     return await place(node, call, context.account, Entrance.TARGET, passage)
 
 
-def _make_call(
-    node: Node, asked: Asked, method: str, body: bytes, rule: CallRule, caller: CallerId
-) -> Call:
+def _make_call(node: Node, asked: Asked, rule: CallRule, caller: CallerId) -> Call:
     wait_s = rule.wait_ms / MS_PER_S
     if asked.wait_s is not None:
         wait_s = min(wait_s, asked.wait_s)
@@ -61,11 +58,12 @@
         request=make_request_id(),
         service=asked.service,
         name=asked.name,
+        call_class=rule.call_class,
         caller=caller,
-        method=method,
+        method=asked.method,
         path=asked.path,
         headers=asked.headers,
-        body=body,
+        body=asked.body,
         deadline=node.timer.now() + wait_s,
         idempotency_key=asked.idempotency_key,
     )
@@ -73,5 +71,6 @@
 
 def _join(call: Call, context: Context) -> None:
     call.request = context.request
+    call.call_class = context.call_class
     call.depth = context.depth + 1
     call.deadline = min(call.deadline, context.deadline)
--- a/src/pollenbay/commands/serving.py
+++ b/src/pollenbay/commands/serving.py
@@ -11,24 +11,16 @@
 from pollenbay.commands.claim import record_answer, release_claim, take_claim
 from pollenbay.contexts import Context
 from pollenbay.gate import Arrival, Refusal, Ticket, Waiter
-from pollenbay.http1 import (
-    HttpAnswerError,
-    HttpClient,
-    HttpConnectError,
-    HttpExchangeError,
-    HttpRequest,
-    end_to_end_headers,
-)
+from pollenbay.http1 import HttpClient
 from pollenbay.ids import ContextKey
 from pollenbay.ledger import Ledger
 from pollenbay.node import Node
-from pollenbay.outcome import Answered, Headers, NotRun, Outcome, Unknown
+from pollenbay.outcome import Answered, NotRun, Outcome, Unknown
 from pollenbay.queries.rules import find_call
 from pollenbay.rule import CallRule
 from pollenbay.states import NodeState, Reason, TargetState
-from pollenbay.translation import CONTEXT_HEADER, DEADLINE_HEADER, KEY_HEADER, REQUEST_HEADER
+from pollenbay.target import TargetAnswerError, TargetConnectError
 
-MS_PER_S = 1000.0
 RETRY_AFTER_S = 1.0
 #: How long past its deadline the answer of a non-idempotent call is still awaited and recorded.
 RECORD_GRACE_S = 10.0
@@ -44,10 +36,10 @@
     rule = find_call(node.rulebook, call.service, call.name)
     reason = _reason_to_refuse(node, call, rule)
     if reason is not None:
-        return _refuse(node, rule, NotRun(reason, RETRY_AFTER_S, allowance))
+        return _refuse(node, call, NotRun(reason, RETRY_AFTER_S, allowance))
     verdict = await _enter(node, call, rule)
     if isinstance(verdict, Refusal):
-        return _refuse(node, rule, NotRun(verdict.reason, verdict.retry_after_s, allowance))
+        return _refuse(node, call, NotRun(verdict.reason, verdict.retry_after_s, allowance))
     return await _serve_admitted(node, call, rule, allowance, passage, verdict)
 
 
@@ -63,16 +55,18 @@
     return None
 
 
-def _refuse(node: Node, rule: CallRule | None, refusal: NotRun) -> NotRun:
-    node.metrics.note_refusal(rule.call_class if rule else None, refusal.reason)
+def _refuse(node: Node, call: Call, refusal: NotRun) -> NotRun:
+    node.metrics.note_refusal(call.call_class, refusal.reason)
     return refusal
 
 
 async def _enter(node: Node, call: Call, rule: CallRule) -> Ticket | Refusal:
     now = node.timer.now()
-    verdict = admit(node.gate, Arrival(rule.call_class, call.caller, call.deadline, now), now)
+    verdict = admit(node.gate, Arrival(call.call_class, call.caller, call.deadline, now), now)
     if not isinstance(verdict, Waiter):
         return verdict
+    if verdict.displaced is not None:
+        await wake([verdict.displaced])
     try:
         await timeout_after(call.deadline - now, verdict.event.wait)
     except TaskTimeout:
@@ -81,7 +75,7 @@
     except BaseException:
         await wake(abandon(node.gate, verdict, node.timer.now()))
         raise
-    node.metrics.note_queue(rule.call_class, node.timer.now() - now)
+    node.metrics.note_queue(call.call_class, node.timer.now() - now)
     return verdict.decision
 
 
@@ -102,7 +96,7 @@
         return outcome
     finally:
         now = node.timer.now()
-        node.metrics.note_target(rule.call_class, now - started_at)
+        node.metrics.note_target(call.call_class, now - started_at)
         await wake(release(node.gate, ticket, now - started_at, sound, now))
 
 
@@ -110,9 +104,7 @@
     return isinstance(outcome, Answered) and outcome.status < STATUS_SERVER_ERROR
 
 
-async def _run(
-    node: Node, call: Call, rule: CallRule, allowance: int, passage: Passage
-) -> Outcome:
+async def _run(node: Node, call: Call, rule: CallRule, allowance: int, passage: Passage) -> Outcome:
     if rule.idempotent or call.idempotency_key is None:
         return await _send(node, call, rule, allowance, passage)
     passage.cancellable = False
@@ -154,12 +146,12 @@
     node: Node, call: Call, rule: CallRule, allowance: int, passage: Passage
 ) -> Outcome:
     try:
-        client = await node.target.take()
-    except HttpConnectError:
-        return _refuse(node, rule, NotRun(Reason.CONNECT_FAILED, RETRY_AFTER_S, allowance))
-    account = make_account(allowance)
+        client = await node.target.connect()
+    except TargetConnectError as error:
+        return _refuse(node, call, NotRun(error.reason, RETRY_AFTER_S, allowance))
+    account = make_account(allowance, call.deadline)
     key = node.contexts.open(
-        Context(call.request, call.caller, account, call.deadline, call.depth)
+        Context(call.request, call.call_class, call.caller, account, call.deadline, call.depth)
     )
     try:
         return await _exchange(node, call, rule, account, passage, client, key)
@@ -178,46 +170,13 @@
 ) -> Outcome:
     time_left_s = call.deadline - node.timer.now()
     if time_left_s <= 0:
-        await node.target.give(client)
-        return _refuse(node, rule, NotRun(Reason.DEADLINE, 0.0, account.retries))
+        await node.target.keep(client)
+        return _refuse(node, call, NotRun(Reason.DEADLINE, 0.0, account.left))
     passage.cancellable = rule.idempotent
     passage.sent = True
-    grace_s = 0.0 if rule.idempotent else RECORD_GRACE_S
-    request = _target_request(node, call, key, time_left_s)
+    limit_s = time_left_s if rule.idempotent else time_left_s + RECORD_GRACE_S
     try:
-        response = await timeout_after(time_left_s + grace_s, client.exchange, request)
-    except TaskTimeout:
-        reason = Reason.DEADLINE
-    except HttpExchangeError:
-        reason = Reason.CONNECTION_LOST
-    except HttpAnswerError:
-        node.metrics.note_bad_input("target")
-        reason = Reason.ANSWER_BROKEN
-    except BaseException:
-        await client.close()
-        raise
-    else:
-        await node.target.give(client)
-        headers = end_to_end_headers(response.headers)
-        return Answered(response.status, headers, response.body, account.retries)
-    await client.close()
-    node.metrics.note_unknown(reason)
-    return Unknown(reason, account.retries)
-
-
-def _target_request(node: Node, call: Call, key: ContextKey, time_left_s: float) -> HttpRequest:
-    address, port = node.target.endpoint
-    headers: Headers = [
-        (b"host", f"{address}:{port}".encode("ascii")),
-        *call.headers,
-        (CONTEXT_HEADER, key.encode("ascii")),
-        (REQUEST_HEADER, call.request.encode("ascii")),
-        (DEADLINE_HEADER, b"%d" % (time_left_s * MS_PER_S)),
-    ]
-    if call.idempotency_key is not None and not _has_key(call.headers):
-        headers.append((KEY_HEADER, call.idempotency_key.encode("latin-1")))
-    return HttpRequest(call.method.encode("ascii"), call.path.encode("ascii"), headers, call.body)
-
-
-def _has_key(headers: Headers) -> bool:
-    return any(name == KEY_HEADER for name, _ in headers)
+        return await node.target.run(client, call, key, account, time_left_s, limit_s)
+    except TargetAnswerError as error:
+        node.metrics.note_unknown(error.reason)
+        return Unknown(error.reason, account.left)
--- a/src/pollenbay/contexts.py
+++ b/src/pollenbay/contexts.py
@@ -4,6 +4,7 @@
 
 from pollenbay.account import Account
 from pollenbay.ids import CallerId, ContextKey, RequestId, make_context_key
+from pollenbay.states import CallClass
 
 
 @dataclass(slots=True)
@@ -15,6 +16,7 @@
     """
 
     request: RequestId
+    call_class: CallClass
     caller: CallerId
     account: Account
     deadline: float
--- /dev/null
+++ b/src/pollenbay/linking.py
@@ -0,0 +1,50 @@
+"""Front end for calls that come from other nodes: one task for each connection."""
+
+from curio import current_task, schedule
+from curio.io import Socket
+
+from pollenbay.call import Passage
+from pollenbay.commands.serving import serve
+from pollenbay.link import Link, LinkBrokenError, LinkMessageError
+from pollenbay.message import AnyLinkMessage, CallMessage, ReplyMessage, make_call, reply_to
+from pollenbay.node import Node
+from pollenbay.watch import Watched
+
+SOURCE = "link"
+CALLS_PER_TURN = 8
+
+
+async def serve_link(node: Node, sock: Socket) -> None:
+    """Serve the calls that arrive on one link until it closes."""
+    link = Link(sock)
+    try:
+        await _serve_calls(node, link)
+    except LinkMessageError:
+        node.metrics.note_bad_input(SOURCE)
+    except LinkBrokenError:
+        return
+
+
+async def _serve_calls(node: Node, link: Link) -> None:
+    served = 0
+    while (message := await link.receive()) is not None:
+        call_message = _require_call(message)
+        await link.send(await _serve_call(node, link, call_message))
+        served += 1
+        if served % CALLS_PER_TURN == 0:
+            await schedule()
+
+
+def _require_call(message: AnyLinkMessage) -> CallMessage:
+    if not isinstance(message, CallMessage):
+        raise LinkMessageError(f"expected a call, got {type(message).__name__}")
+    return message
+
+
+async def _serve_call(node: Node, link: Link, message: CallMessage) -> ReplyMessage:
+    call = make_call(message, node.timer.now())
+    passage = Passage()
+    watched = Watched(link.sock, await current_task(), passage, link, message.call_id)
+    with node.watch.over(watched):
+        outcome = await serve(node, call, message.allowance, passage)
+    return reply_to(outcome, message.call_id)
--- a/src/pollenbay/message.py
+++ b/src/pollenbay/message.py
@@ -7,7 +7,7 @@
 from pollenbay.call import Call
 from pollenbay.ids import CallerId, CallId, CallName, IdempotencyKey, RequestId, ServiceName
 from pollenbay.outcome import Answered, Headers, NotRun, Outcome, Unknown
-from pollenbay.states import Reason
+from pollenbay.states import CallClass, Reason
 
 MS_PER_S = 1000.0
 
@@ -31,6 +31,7 @@
     request: RequestId
     service: ServiceName
     name: CallName
+    call_class: CallClass
     caller: CallerId
     method: str
     path: str
@@ -74,13 +75,16 @@
 ReplyMessage = AnswerMessage | NotRunMessage | UnknownMessage
 
 
-def make_call_message(call: Call, call_id: CallId, time_left_s: float, allowance: int):
+def make_call_message(
+    call: Call, call_id: CallId, time_left_s: float, allowance: int
+) -> CallMessage:
     """Return the message that asks another node to run a call."""
     return CallMessage(
         call_id=call_id,
         request=call.request,
         service=call.service,
         name=call.name,
+        call_class=call.call_class,
         caller=call.caller,
         method=call.method,
         path=call.path,
@@ -99,6 +103,7 @@
         request=message.request,
         service=message.service,
         name=message.name,
+        call_class=message.call_class,
         caller=message.caller,
         method=message.method,
         path=message.path,
--- a/src/pollenbay/node.py
+++ b/src/pollenbay/node.py
@@ -1,15 +1,16 @@
 """The state of one node: everything that its commands change and its queries read."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from random import Random
 
-from pollenbay.budget import RetryBudget, make_budget
+from curio import Event
+
+from pollenbay.budget import RetryBudget, make_retry_budget
 from pollenbay.contexts import Contexts, make_contexts
 from pollenbay.gate import Gate, make_gate
 from pollenbay.ids import Incarnation
 from pollenbay.ledger import Ledger, make_ledger
 from pollenbay.link import LinkPool, make_link_pool
-from pollenbay.membership import Membership, make_membership
 from pollenbay.metrics import Metrics, make_metrics
 from pollenbay.rule import DEFAULT_SLOTS
 from pollenbay.rulebook import Rulebook, make_rulebook
@@ -22,6 +23,8 @@
 from pollenbay.view import Place, View, make_view
 from pollenbay.watch import Watch, make_watch
 
+MS_PER_S = 1000
+
 
 @dataclass(slots=True)
 class Node:
@@ -29,6 +32,8 @@
 
     :param incarnation: this run of the instance.
     :param state: life of the process; `pollenbay.commands.life` changes it.
+    :param refusing: whether new work is refused because the node is leaving.
+    :param stopping: set when a planned stop was asked for.
     """
 
     settings: Settings
@@ -46,8 +51,34 @@
     ledger: Ledger
     links: LinkPool
     watch: Watch
-    membership: Membership
     metrics: Metrics
     random: Random
     state: NodeState = NodeState.STARTING
     refusing: bool = False
+    stopping: Event = field(default_factory=Event)
+
+
+def make_node(settings: Settings) -> Node:
+    """Return a node that has not begun to serve."""
+    timer = make_timer()
+    table = make_table(settings.table.address, settings.table.port, settings.table.timeout_s)
+    incarnation = Incarnation(int(timer.epoch() * MS_PER_S))
+    return Node(
+        settings=settings,
+        incarnation=incarnation,
+        place=Place(settings.host, settings.zone, settings.region),
+        timer=timer,
+        table=table,
+        rulebook=make_rulebook(),
+        view=make_view(),
+        target=make_target(settings.limits.body_bytes),
+        gate=make_gate(DEFAULT_SLOTS),
+        scores=make_scores(),
+        budget=make_retry_budget(),
+        contexts=make_contexts(),
+        ledger=make_ledger(table, settings.instance, incarnation, timer),
+        links=make_link_pool(),
+        watch=make_watch(),
+        metrics=make_metrics(),
+        random=Random(),
+    )
--- a/src/pollenbay/timer.py
+++ b/src/pollenbay/timer.py
@@ -2,7 +2,7 @@
 
 from heapq import heappop, heappush
 from itertools import count
-from time import monotonic
+from time import monotonic, time
 
 from curio import Event, sleep
 
@@ -55,6 +55,10 @@
         """Return monotonic seconds."""
         return monotonic()
 
+    def epoch(self) -> float:
+        """Return seconds since the epoch, by this host's clock."""
+        return time()
+
     def subscribe(self, period_s: float) -> Subscription:
         """Return a subscription that fires every `period_s` seconds."""
         subscription = Subscription(period_s)
--- a/src/pollenbay/translation.py
+++ b/src/pollenbay/translation.py
@@ -1,11 +1,11 @@
 """Translation between HTTP messages and typed calls and outcomes."""
 
-from dataclasses import dataclass
 from functools import singledispatch
 
 from msgspec import Struct
 from msgspec.json import encode
 
+from pollenbay.call import Asked, Call
 from pollenbay.http1 import HttpRequest, HttpResponse, end_to_end_headers, header_value
 from pollenbay.ids import CallerId, CallName, ContextKey, IdempotencyKey, ServiceName
 from pollenbay.outcome import Answered, Headers, NotRun, Outcome, Unknown
@@ -41,23 +41,6 @@
     """A request whose meaning cannot be read; the text says which part is wrong."""
 
 
-@dataclass(slots=True)
-class Asked:
-    """What an HTTP request asks for.
-
-    :param wait_s: longest time in seconds that the caller waits, if it says so.
-    """
-
-    service: ServiceName
-    name: CallName
-    path: str
-    headers: Headers
-    caller: CallerId | None
-    context: ContextKey | None
-    idempotency_key: IdempotencyKey | None
-    wait_s: float | None
-
-
 class Refused(Struct):
     """Body of a response of the node itself."""
 
@@ -75,8 +58,10 @@
     return Asked(
         service=ServiceName(service),
         name=CallName(_first_part(path)),
+        method=request.method.decode("ascii"),
         path=path,
         headers=[pair for pair in end_to_end_headers(headers) if not _is_own(pair[0])],
+        body=request.body,
         caller=_optional(headers, CALLER_HEADER, NAME_LIMIT, CallerId),
         context=_optional(headers, CONTEXT_HEADER, NAME_LIMIT, ContextKey),
         idempotency_key=_optional(headers, KEY_HEADER, KEY_LIMIT, IdempotencyKey),
@@ -84,6 +69,26 @@
     )
 
 
+def request_to_target(
+    call: Call, context: ContextKey, time_left_s: float, endpoint: tuple[str, int]
+) -> HttpRequest:
+    """Return the HTTP request that carries a call to its target."""
+    headers: Headers = [
+        (b"host", f"{endpoint[0]}:{endpoint[1]}".encode("ascii")),
+        *call.headers,
+        (CONTEXT_HEADER, context.encode("ascii")),
+        (REQUEST_HEADER, call.request.encode("ascii")),
+        (DEADLINE_HEADER, b"%d" % (time_left_s * MS_PER_S)),
+    ]
+    return HttpRequest(call.method.encode("ascii"), call.path.encode("ascii"), headers, call.body)
+
+
+def answer_from_target(response: HttpResponse, allowance_left: int) -> Answered:
+    """Return the outcome that a target's whole response stands for."""
+    headers = end_to_end_headers(response.headers)
+    return Answered(response.status, headers, response.body, allowance_left)
+
+
 @singledispatch
 def response_of(outcome: Outcome) -> HttpResponse:
     """Return the HTTP response that tells a caller an outcome."""
--- a/src/pollenbay/watch.py
+++ b/src/pollenbay/watch.py
@@ -27,8 +27,8 @@
     sock: Socket
     task: Task
     passage: Passage
-    link: Link | None
-    call_id: CallId | None
+    link: Link | None = None
+    call_id: CallId | None = None
 
 
 class Watch:
