--- a/src/pollenbay/commands/dispatch.py
+++ b/src/pollenbay/commands/dispatch.py
@@ -1,9 +1,12 @@
 """The entry to the operators' commands, by the type of the command."""
 
+from __future__ import annotations
+
 from functools import singledispatch
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
-from pollenbay.node import Node
+if TYPE_CHECKING:
+    from pollenbay.node import Node
 
 
 @singledispatch
--- a/src/pollenbay/ids.py
+++ b/src/pollenbay/ids.py
@@ -25,6 +25,8 @@
 ContextKey = NewType("ContextKey", str)
 IdempotencyKey = NewType("IdempotencyKey", str)
 RuleVersion = NewType("RuleVersion", int)
+#: One publication of rules, made by the publisher; at most one version comes of it.
+PublicationId = NewType("PublicationId", str)
 RowKey = NewType("RowKey", str)
 #: Version of one row of the table; 0 stands for an absent row.
 RowVersion = NewType("RowVersion", int)
--- a/src/pollenbay/rulebook.py
+++ b/src/pollenbay/rulebook.py
@@ -2,6 +2,7 @@
 
 from pollenbay.ids import CallName, RuleVersion, ServiceName
 from pollenbay.rule import EMPTY_RULES, CallRule, RuleSet, ServiceRule
+from pollenbay.states import AdoptionRefusal
 
 
 class Rulebook:
@@ -12,6 +13,7 @@
         self._adopted_at = 0.0
         self._services: dict[ServiceName, ServiceRule] = {}
         self._calls: dict[tuple[ServiceName, CallName], CallRule] = {}
+        self._refusals = dict.fromkeys(AdoptionRefusal, 0)
 
     @property
     def rules(self) -> RuleSet:
@@ -38,6 +40,15 @@
         """Return the rules by service and call."""
         return self._calls
 
+    @property
+    def refusals(self) -> dict[AdoptionRefusal, int]:
+        """Return how many rule sets were refused, by why."""
+        return self._refusals
+
+    def count_refusal(self, refusal: AdoptionRefusal) -> None:
+        """Count a rule set that was not put in force."""
+        self._refusals[refusal] += 1
+
     def replace(self, rules: RuleSet, adopted_at: float) -> None:
         """Put another rule set in force."""
         self._rules = rules
--- a/src/pollenbay/states.py
+++ b/src/pollenbay/states.py
@@ -54,6 +54,14 @@
     RELEASED = "released"
 
 
+class AdoptionRefusal(Enum):
+    """Why a rule set that a node heard of was not put in force."""
+
+    OLDER = "older"
+    CONFLICTING = "conflicting"
+    DIGEST = "digest"
+
+
 class Reason(Enum):
     """Why a call was not answered."""
 
