--- /dev/null
+++ b/src/pollenbay/commands/publication.py
@@ -0,0 +1,242 @@
+"""Publishing rules: one transaction in the platform's table, settled if its answer is lost.
+
+Each publication has an id and a row of its own, which is written once: by the transaction that
+publishes, or by one that refuses or withdraws it. So a transaction whose answer was lost can be
+sent again, a late one cannot take effect after a refusal, and anyone can settle it by the id.
+"""
+
+from __future__ import annotations
+
+from functools import singledispatch
+from time import time
+from typing import TYPE_CHECKING
+
+from msgspec import Struct
+from result import Err, Ok
+
+from pollenbay.commands.adoption import adopt
+from pollenbay.commands.dispatch import execute
+from pollenbay.commands.settlement import (
+    ABSENT,
+    ATTEMPTS,
+    close_publication,
+    closed_record,
+    id_problem,
+    outcome_of,
+    read_record,
+)
+from pollenbay.ids import OperatorId, PublicationId, RuleVersion
+from pollenbay.publication import (
+    Accepted,
+    HistoryEntry,
+    Invalid,
+    NotWritten,
+    PublicationOutcome,
+    PublicationRecord,
+    PublicationState,
+    Unsettled,
+    make_publication_id,
+)
+from pollenbay.queries.check import check_services, errors_of
+from pollenbay.queries.rules import CurrentRules, read_current, read_current_row
+from pollenbay.rule import RuleSet, ServiceRule
+from pollenbay.rulerow import (
+    CURRENT_KEY,
+    PUBLICATION_PREFIX,
+    encode_row,
+    history_key,
+    make_rule_set,
+    publication_key,
+    services_digest,
+)
+from pollenbay.table import (
+    Check,
+    Table,
+    TableConflictError,
+    TableError,
+    TableUnknownError,
+    Transaction,
+    Write,
+)
+
+if TYPE_CHECKING:
+    from pollenbay.node import Node
+
+__all__ = ["Publish", "publish", "read_current"]
+
+HISTORY_KEPT_VERSIONS = 100_000
+#: Well above the time for which a publication can be settled.
+RECORD_KEPT_S = 3 * 86_400
+EXPIRED_PER_PUBLICATION = 4
+
+
+class Publish(Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Make these rules the next version.
+
+    :param publication: id from `make_publication_id`; the same id publishes at most once. None
+        lets the node make one.
+    :param expected_version: refuse unless this version is current; None takes any.
+    """
+
+    services: tuple[ServiceRule, ...]
+    author: OperatorId
+    publication: PublicationId | None = None
+    expected_version: RuleVersion | None = None
+
+
+@execute.register(Publish)
+async def _execute_publish(command: Publish, node: Node) -> PublicationOutcome:
+    findings = errors_of(check_services(command.services))
+    if findings:
+        return Invalid(findings=findings)
+    outcome = await publish(node.table, command, time())
+    if isinstance(outcome, Accepted):
+        await _adopt_current(node)
+    return outcome
+
+
+async def _adopt_current(node: Node) -> None:
+    result = await read_current(node.table)
+    if isinstance(result, Ok) and result.ok_value is not None:
+        adopt(node.rulebook, result.ok_value, time())
+
+
+async def publish(table: Table, command: Publish, now_epoch: float) -> PublicationOutcome:
+    """Publish rules that have been checked.
+
+    :param now_epoch: seconds since the epoch.
+    """
+    publication = command.publication or make_publication_id(now_epoch)
+    problem = id_problem(publication, now_epoch)
+    if problem is not None:
+        return NotWritten(publication=publication, message=str(problem))
+    return await _Publisher(table, command, publication, now_epoch).run()
+
+
+class _Publisher:
+    """One publication: reads, writes, and reads back until it knows what came of it."""
+
+    def __init__(
+        self, table: Table, command: Publish, publication: PublicationId, now_epoch: float
+    ) -> None:
+        self._table = table
+        self._command = command
+        self._publication = publication
+        self._now_epoch = now_epoch
+        self._digest = services_digest(command.services)
+        self._expected = command.expected_version
+        self._sent = False
+
+    async def run(self) -> PublicationOutcome:
+        for _ in range(ATTEMPTS):
+            outcome = await self._attempt()
+            if outcome is not None:
+                return outcome
+        return await self._refuse(RuleVersion(0), OperatorId(""))
+
+    async def _attempt(self) -> PublicationOutcome | None:
+        """Return the outcome, or None if another attempt can tell more."""
+        read = await read_current_row(self._table)
+        if isinstance(read, Err):
+            return self._give_up(str(read.err_value))
+        current = read.ok_value
+        if self._expected is None:
+            self._expected = current.rules.version
+        same = current.rules.version > 0 and current.rules.digest == self._digest
+        if not same and current.rules.version != self._expected:
+            return await self._refuse(current.rules.version, current.rules.author)
+        expired = await _find_expired(self._table, self._now_epoch)
+        transaction = self._confirmation(current) if same else self._publication_of(current)
+        transaction.writes.extend(expired)
+        result = await self._table.transact(transaction.checks, transaction.writes)
+        if isinstance(result, Ok):
+            return self._accepted(current, same)
+        return await self._after_failure(result.err_value)
+
+    def _accepted(self, current: CurrentRules, same: bool) -> Accepted:
+        version = current.rules.version if same else RuleVersion(current.rules.version + 1)
+        return Accepted(
+            publication=self._publication, version=version, digest=self._digest, changed=not same
+        )
+
+    async def _after_failure(self, error: TableError) -> PublicationOutcome | None:
+        if not isinstance(error, TableUnknownError | TableConflictError):
+            return self._give_up(str(error))
+        self._sent = self._sent or may_have_written(error)
+        record = await read_record(self._table, self._publication)
+        if isinstance(record, Err):
+            return self._give_up(str(record.err_value))
+        if record.ok_value is None:
+            return None
+        return outcome_of(self._publication, record.ok_value)
+
+    async def _refuse(self, version: RuleVersion, author: OperatorId) -> PublicationOutcome:
+        refused = closed_record(PublicationState.REFUSED, version, author)
+        return await close_publication(self._table, self._publication, refused)
+
+    def _give_up(self, message: str) -> PublicationOutcome:
+        if self._sent:
+            return Unsettled(publication=self._publication, message=message)
+        return NotWritten(publication=self._publication, message=message)
+
+    def _publication_of(self, current: CurrentRules) -> Transaction:
+        version = RuleVersion(current.rules.version + 1)
+        command = self._command
+        rules = make_rule_set(version, command.services, command.author, self._now_epoch)
+        writes = [
+            Write(CURRENT_KEY, encode_row(rules)),
+            Write(history_key(version), encode_row(self._entry(rules))),
+            self._record(rules, changed=True),
+        ]
+        forgotten = version - HISTORY_KEPT_VERSIONS
+        if forgotten > 0:
+            writes.append(Write(history_key(RuleVersion(forgotten)), None))
+        return Transaction(self._checks(current), writes)
+
+    def _confirmation(self, current: CurrentRules) -> Transaction:
+        return Transaction(self._checks(current), [self._record(current.rules, changed=False)])
+
+    def _checks(self, current: CurrentRules) -> list[Check]:
+        return [
+            Check(CURRENT_KEY, current.row_version),
+            Check(publication_key(self._publication), ABSENT),
+        ]
+
+    def _entry(self, rules: RuleSet) -> HistoryEntry:
+        return HistoryEntry(
+            version=rules.version,
+            digest=rules.digest,
+            author=rules.author,
+            published_at=rules.published_at,
+            publication=self._publication,
+        )
+
+    def _record(self, rules: RuleSet, changed: bool) -> Write:
+        record = PublicationRecord(
+            state=PublicationState.PUBLISHED,
+            version=rules.version,
+            digest=rules.digest,
+            author=rules.author,
+            changed=changed,
+        )
+        return Write(publication_key(self._publication), encode_row(record))
+
+
+@singledispatch
+def may_have_written(error: TableError) -> bool:
+    """Tell whether a transaction that ended in this error may have taken effect."""
+    return False
+
+
+@may_have_written.register(TableUnknownError)
+def _(error: TableUnknownError) -> bool:
+    return True
+
+
+async def _find_expired(table: Table, now_epoch: float) -> list[Write]:
+    """Return writes that remove a few of the oldest records, which nobody may ask for."""
+    result = await table.scan(PUBLICATION_PREFIX, "", EXPIRED_PER_PUBLICATION)
+    if isinstance(result, Err):
+        return []
+    oldest_kept = publication_key(PublicationId(f"{int(now_epoch - RECORD_KEPT_S):010d}"))
+    return [Write(row.key, None) for row in result.ok_value if row.key < oldest_kept]
--- a/src/pollenbay/view.py
+++ b/src/pollenbay/view.py
@@ -55,6 +55,7 @@
 
     :param heard_at: monotonic seconds at which it was last known to be alive.
     :param first_seen_at: monotonic seconds at which this incarnation appeared.
+    :param rule_since: seconds since the epoch from which it runs its rule version, as it reports.
     """
 
     instance: InstanceId
@@ -66,6 +67,7 @@
     heard_at: float
     first_seen_at: float
     rule_version: RuleVersion = RuleVersion(0)
+    rule_since: float = 0.0
     load: Load = field(default_factory=Load)
 
 
