--- /dev/null
+++ b/src/pollenbay/batch.py
@@ -0,0 +1,217 @@
+"""Group commit: single-row changes of many tasks go to the table in shared transactions."""
+
+from collections import deque
+from collections.abc import Iterator
+from enum import Enum
+from time import monotonic
+
+from curio import Event, TaskGroup, sleep
+from msgspec import Struct
+from result import Err, Ok, Result
+
+from pollenbay.ids import RowKey, RowVersion
+from pollenbay.table import (
+    Check,
+    Table,
+    TableConflictError,
+    TableError,
+    TableUnavailableError,
+    Write,
+)
+
+BATCH_ROWS = 64
+BATCH_BYTES = 256 * 1024
+BATCH_GAP_S = 0.005
+QUEUE_LIMIT_ROWS = 1024
+WRITERS = 2
+
+
+class BatchError(Exception):
+    """Root of the errors of this layer."""
+
+
+class BatchFullError(BatchError):
+    """Too many changes wait already; this one was not taken."""
+
+
+class WriteState(Enum):
+    """Progress of one change; the last four are final."""
+
+    QUEUED = "queued"
+    SENT = "sent"
+    APPLIED = "applied"
+    CONFLICT = "conflict"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+class Change(Struct, frozen=True):
+    """New value of one row, provided that the row has a version.
+
+    :param version: the version demanded; 0 demands that the row is absent.
+    """
+
+    key: RowKey
+    version: RowVersion
+    value: bytes
+
+
+class PendingWrite:
+    """One change on its way to the table."""
+
+    def __init__(self, change: Change) -> None:
+        self._change = change
+        self._state = WriteState.QUEUED
+        self._final = Event()
+
+    @property
+    def change(self) -> Change:
+        """Return the change."""
+        return self._change
+
+    @property
+    def state(self) -> WriteState:
+        """Return how far it has come."""
+        return self._state
+
+    @property
+    def may_apply(self) -> bool:
+        """Tell whether the change is in force or may still come into force."""
+        return self._state in (WriteState.SENT, WriteState.APPLIED, WriteState.UNKNOWN)
+
+    async def wait(self) -> WriteState:
+        """Return the final state."""
+        await self._final.wait()
+        return self._state
+
+    def mark_sent(self) -> None:
+        """Note that it has left for the table."""
+        self._state = WriteState.SENT
+
+    async def finish(self, state: WriteState) -> None:
+        """Set the final state and wake whoever waits."""
+        self._state = state
+        await self._final.set()
+
+
+class Batcher:
+    """Queue of changes and the tasks that write them.
+
+    A change that finds the queue empty leaves at once; those that come within the gap after it,
+    or while every writer waits for the table, leave together.
+
+    :param gap_s: least time in seconds between the starts of two transactions.
+    """
+
+    def __init__(self, table: Table, gap_s: float = BATCH_GAP_S) -> None:
+        self._table = table
+        self._gap_s = gap_s
+        self._queue: deque[PendingWrite] = deque()
+        self._arrived = Event()
+        self._next_start = 0.0
+        self._transactions = 0
+        self._rows = 0
+
+    @property
+    def transactions(self) -> int:
+        """Return how many transactions were sent."""
+        return self._transactions
+
+    @property
+    def rows(self) -> int:
+        """Return how many rows they held, those sent again after a conflict counted again."""
+        return self._rows
+
+    @property
+    def queued(self) -> int:
+        """Return how many changes wait."""
+        return len(self._queue)
+
+    async def submit(self, change: Change) -> Result[PendingWrite, BatchFullError]:
+        """Queue a change."""
+        if len(self._queue) >= QUEUE_LIMIT_ROWS:
+            return Err(BatchFullError(f"{len(self._queue)} changes wait"))
+        pending = PendingWrite(change)
+        self._queue.append(pending)
+        await self._arrived.set()
+        return Ok(pending)
+
+    def withdraw(self, pending: PendingWrite) -> bool:
+        """Take a change back and tell whether it was still queued, so never sent."""
+        if pending.state is not WriteState.QUEUED:
+            return False
+        self._queue.remove(pending)
+        return True
+
+    async def run(self) -> None:
+        """Write until cancelled."""
+        async with TaskGroup() as group:
+            for _ in range(WRITERS):
+                await group.spawn(self._write_each)
+
+    async def _write_each(self) -> None:
+        while True:
+            while not self._queue:
+                self._arrived.clear()
+                await self._arrived.wait()
+            if await self._wait_for_gap():
+                await self._send(self._take_batch())
+
+    async def _wait_for_gap(self) -> bool:
+        left_s = self._next_start - monotonic()
+        if left_s > 0.0:
+            await sleep(left_s)
+            return False
+        self._next_start = monotonic() + self._gap_s
+        return True
+
+    def _take_batch(self) -> list[PendingWrite]:
+        batch: list[PendingWrite] = []
+        keys: set[RowKey] = set()
+        size_bytes = 0
+        while self._queue and len(batch) < BATCH_ROWS:
+            change = self._queue[0].change
+            size_bytes += len(change.value)
+            if change.key in keys or (batch and size_bytes > BATCH_BYTES):
+                break
+            keys.add(change.key)
+            batch.append(self._queue.popleft())
+        for pending in batch:
+            pending.mark_sent()
+        return batch
+
+    async def _send(self, batch: list[PendingWrite]) -> None:
+        self._transactions += 1
+        self._rows += len(batch)
+        checks = [Check(pending.change.key, pending.change.version) for pending in batch]
+        writes = [Write(pending.change.key, pending.change.value) for pending in batch]
+        result = await self._table.transact(checks, writes)
+        state = _state_of(result)
+        if state is WriteState.CONFLICT and len(batch) > 1:
+            for half in _halves(batch):
+                await self._send(half)
+            return
+        for pending in batch:
+            await pending.finish(state)
+
+
+def make_batcher(table: Table, gap_s: float = BATCH_GAP_S) -> Batcher:
+    """Return a batcher with an empty queue; its owner runs it in a task."""
+    return Batcher(table, gap_s)
+
+
+def _halves(batch: list[PendingWrite]) -> Iterator[list[PendingWrite]]:
+    middle = len(batch) // 2
+    yield batch[:middle]
+    yield batch[middle:]
+
+
+def _state_of(result: Result[None, TableError]) -> WriteState:
+    if isinstance(result, Ok):
+        return WriteState.APPLIED
+    error = result.unwrap_err()
+    if isinstance(error, TableConflictError):
+        return WriteState.CONFLICT
+    if isinstance(error, TableUnavailableError):
+        return WriteState.REFUSED
+    return WriteState.UNKNOWN
--- /dev/null
+++ b/src/pollenbay/claim.py
@@ -0,0 +1,170 @@
+"""Claims: the rows by which a call with an idempotency key runs at most once."""
+
+from dataclasses import dataclass
+from hashlib import sha256
+from secrets import token_hex
+from typing import NewType
+
+from msgspec import DecodeError, Struct, ValidationError
+from msgspec.msgpack import decode, encode
+from result import Err, Ok, Result
+
+from pollenbay.ids import (
+    CallerId,
+    CallName,
+    Digest,
+    IdempotencyKey,
+    Incarnation,
+    InstanceId,
+    RowKey,
+    RowVersion,
+    ServiceName,
+)
+from pollenbay.outcome import Answered, Headers
+from pollenbay.states import ClaimState
+
+CLAIM_PREFIX = "claim/"
+NONCE_BYTES = 16
+ANSWER_LIMIT_BYTES = 32 * 1024
+LENGTH_BYTES = 8
+
+#: Names one attempt to take a claim, so that its holder knows its own write again.
+ClaimNonce = NewType("ClaimNonce", str)
+
+
+class ClaimError(Exception):
+    """Root of the errors of this layer."""
+
+
+class ClaimRowError(ClaimError):
+    """A row of a claim cannot be read."""
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimRequest:
+    """A call that asks for a claim.
+
+    :param caller: whose key it is; two callers' equal keys are two claims.
+    :param fingerprint: see `fingerprint_of`.
+    :param deadline_epoch_s: seconds since the epoch by which its outcome is due.
+    """
+
+    service: ServiceName
+    call: CallName
+    caller: CallerId
+    key: IdempotencyKey
+    fingerprint: Digest
+    deadline_epoch_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """Leave to send one call once; nobody else ever gets it for the same key unless released.
+
+    :param version: version of the row after it was claimed.
+    """
+
+    key: RowKey
+    nonce: ClaimNonce
+    version: RowVersion
+    fingerprint: Digest
+
+
+class ClaimRow(Struct, tag_field="state", kw_only=True, frozen=True):
+    """Root of the values of a claim's row.
+
+    :param nonce: the attempt that the row belongs to.
+    :param written_epoch_s: seconds since the epoch at which it was written.
+    """
+
+    nonce: ClaimNonce
+    written_epoch_s: float
+
+
+class ClaimedRow(ClaimRow, tag=ClaimState.CLAIMED.value):
+    """The call may have been sent, or may be sent any time from now."""
+
+    fingerprint: Digest
+    instance: InstanceId
+    incarnation: Incarnation
+    deadline_epoch_s: float
+
+
+class AnsweredRow(ClaimRow, tag=ClaimState.ANSWERED.value):
+    """The call ran, and this was its answer.
+
+    :param whole: False if the answer was too large to be stored; then there is no body.
+    """
+
+    fingerprint: Digest
+    status: int
+    headers: Headers
+    body: bytes
+    whole: bool = True
+
+
+class ReleasedRow(ClaimRow, tag=ClaimState.RELEASED.value):
+    """Its holder never sent the call and never will."""
+
+
+AnyClaimRow = ClaimedRow | AnsweredRow | ReleasedRow
+
+
+def make_nonce() -> ClaimNonce:
+    """Return a new random nonce."""
+    return ClaimNonce(token_hex(NONCE_BYTES))
+
+
+def row_key_of(request: ClaimRequest) -> RowKey:
+    """Return the key of the row that guards a request."""
+    digest = _digest_of(request.service.encode(), request.caller.encode(), request.key.encode())
+    return RowKey(f"{CLAIM_PREFIX}{digest}")
+
+
+def fingerprint_of(
+    service: ServiceName, call: CallName, method: str, path: str, body: bytes
+) -> Digest:
+    """Return the digest that tells two requests under one key apart.
+
+    :param path: path and query as the target gets them.
+    """
+    return _digest_of(service.encode(), call.encode(), method.encode(), path.encode(), body)
+
+
+def encode_row(row: AnyClaimRow) -> bytes:
+    """Return the value to be stored."""
+    return encode(row)
+
+
+def decode_row(value: bytes) -> Result[AnyClaimRow, ClaimRowError]:
+    """Return the row that a stored value holds."""
+    try:
+        return Ok(decode(value, type=AnyClaimRow))
+    except (DecodeError, ValidationError) as error:
+        return Err(ClaimRowError(str(error)))
+
+
+def answered_row_of(claim: Claim, answer: Answered, now_epoch_s: float) -> AnsweredRow:
+    """Return the row that stores an answer, or that marks it as too large to be stored."""
+    whole = _size_of(answer) <= ANSWER_LIMIT_BYTES
+    return AnsweredRow(
+        nonce=claim.nonce,
+        written_epoch_s=now_epoch_s,
+        fingerprint=claim.fingerprint,
+        status=answer.status,
+        headers=answer.headers if whole else [],
+        body=answer.body if whole else b"",
+        whole=whole,
+    )
+
+
+def _size_of(answer: Answered) -> int:
+    return len(answer.body) + sum(len(name) + len(value) for name, value in answer.headers)
+
+
+def _digest_of(*parts: bytes) -> Digest:
+    digest = sha256()
+    for part in parts:
+        digest.update(len(part).to_bytes(LENGTH_BYTES, "big"))
+        digest.update(part)
+    return Digest(digest.hexdigest())
--- /dev/null
+++ b/src/pollenbay/commands/record.py
@@ -0,0 +1,198 @@
+"""Records of claims: what must reach the table in the end, written by a task of its own each."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+from functools import singledispatch
+
+from curio import sleep
+from result import Err
+
+from pollenbay.batch import Change, WriteState
+from pollenbay.claim import (
+    AnsweredRow,
+    AnyClaimRow,
+    Claim,
+    ClaimedRow,
+    ClaimNonce,
+    ReleasedRow,
+    answered_row_of,
+    decode_row,
+    encode_row,
+)
+from pollenbay.ids import RowKey, RowVersion
+from pollenbay.ledger import RECORD_LIMIT, Ledger
+from pollenbay.outcome import Answered
+from pollenbay.queries.claim import ABSENT
+from pollenbay.table import Row
+
+RETRY_FIRST_S = 0.1
+RETRY_LONGEST_S = 5.0
+KEEP_S = 900.0
+
+
+class RecordState(Enum):
+    """Result of one try to write a record."""
+
+    WRITTEN = "written"
+    OPEN = "open"
+    LOST = "lost"
+
+
+@dataclass(slots=True)
+class AnswerRecord:
+    """The answer of a call that ran.
+
+    :param version: version that the row is believed to have.
+    """
+
+    claim: Claim
+    answer: Answered
+    version: RowVersion = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.version = self.claim.version
+
+
+@dataclass(slots=True)
+class ReleaseRecord:
+    """An attempt that was never sent.
+
+    :param before: version of the row that the attempt's last write demanded.
+    """
+
+    key: RowKey
+    nonce: ClaimNonce
+    before: RowVersion
+
+
+Record = AnswerRecord | ReleaseRecord
+
+
+async def keep_record(ledger: Ledger, record: Record) -> None:
+    """Start writing a record, unless too many are being written already."""
+    if ledger.records >= RECORD_LIMIT:
+        ledger.counts.lost += 1
+        finish(record, ledger)
+        return
+    ledger.records += 1
+    await ledger.spawn(_write_until_settled, record, ledger)
+
+
+@singledispatch
+async def try_record(record: Record, ledger: Ledger) -> RecordState:
+    """Try once to write a record.
+
+    :raises TypeError: if no handler is registered for the type of the record.
+    """
+    raise TypeError(f"not a record: {type(record).__name__}")
+
+
+@try_record.register
+async def _(record: AnswerRecord, ledger: Ledger) -> RecordState:
+    claim = record.claim
+    value = encode_row(answered_row_of(claim, record.answer, ledger.clock()))
+    state = await _apply(ledger, Change(claim.key, record.version, value))
+    if state is WriteState.APPLIED:
+        return RecordState.WRITTEN
+    if state is WriteState.REFUSED:
+        return RecordState.OPEN
+    result = await ledger.table.get(claim.key)
+    if isinstance(result, Err):
+        return RecordState.OPEN
+    return _settle_answer(record, result.unwrap())
+
+
+@try_record.register
+async def _(record: ReleaseRecord, ledger: Ledger) -> RecordState:
+    result = await ledger.table.get(record.key)
+    if isinstance(result, Err):
+        return RecordState.OPEN
+    row = result.unwrap()
+    if _cannot_apply(record, row):
+        return RecordState.WRITTEN
+    version = ABSENT if row is None else row.version
+    value = encode_row(ReleasedRow(nonce=record.nonce, written_epoch_s=ledger.clock()))
+    state = await _apply(ledger, Change(record.key, version, value))
+    return RecordState.WRITTEN if state is WriteState.APPLIED else RecordState.OPEN
+
+
+@singledispatch
+def finish(record: Record, ledger: Ledger) -> None:
+    """Forget what the ledger held because of a record.
+
+    :raises TypeError: if no handler is registered for the type of the record.
+    """
+    raise TypeError(f"not a record: {type(record).__name__}")
+
+
+@finish.register
+def _(record: AnswerRecord, ledger: Ledger) -> None:
+    ledger.held.pop(record.claim.key, None)
+
+
+@finish.register
+def _(record: ReleaseRecord, ledger: Ledger) -> None:
+    ledger.unsent.discard(record.nonce)
+
+
+async def _write_until_settled(record: Record, ledger: Ledger) -> None:
+    delay_s = RETRY_FIRST_S
+    give_up_at = ledger.timer.now() + KEEP_S
+    state = RecordState.OPEN
+    try:
+        while state is RecordState.OPEN and ledger.timer.now() < give_up_at:
+            state = await try_record(record, ledger)
+            if state is RecordState.OPEN:
+                await sleep(delay_s)
+                delay_s = min(delay_s * 2, RETRY_LONGEST_S)
+    finally:
+        await _close(record, ledger, state)
+
+
+async def _close(record: Record, ledger: Ledger, state: RecordState) -> None:
+    _count(record, ledger, state)
+    finish(record, ledger)
+    ledger.records -= 1
+    if not ledger.records:
+        await ledger.idle.set()
+
+
+def _count(record: Record, ledger: Ledger, state: RecordState) -> None:
+    if state is not RecordState.WRITTEN:
+        ledger.counts.lost += 1
+    elif isinstance(record, AnswerRecord):
+        ledger.counts.recorded += 1
+    else:
+        ledger.counts.released += 1
+
+
+async def _apply(ledger: Ledger, change: Change) -> WriteState:
+    submitted = await ledger.batcher.submit(change)
+    if isinstance(submitted, Err):
+        return WriteState.REFUSED
+    return await submitted.unwrap().wait()
+
+
+def _settle_answer(record: AnswerRecord, row: Row | None) -> RecordState:
+    if row is None:
+        return RecordState.LOST
+    value = _value_of(row)
+    if isinstance(value, AnsweredRow) and value.nonce == record.claim.nonce:
+        return RecordState.WRITTEN
+    if isinstance(value, ClaimedRow) and value.nonce == record.claim.nonce:
+        record.version = row.version
+        return RecordState.OPEN
+    return RecordState.LOST if row.version > record.version else RecordState.OPEN
+
+
+def _cannot_apply(record: ReleaseRecord, row: Row | None) -> bool:
+    if row is None:
+        return record.before != ABSENT
+    value = _value_of(row)
+    if isinstance(value, ClaimedRow) and value.nonce == record.nonce:
+        return False
+    return row.version > record.before
+
+
+def _value_of(row: Row) -> AnyClaimRow | None:
+    return decode_row(row.value).unwrap_or(None)
--- /dev/null
+++ b/src/pollenbay/ledger.py
@@ -0,0 +1,119 @@
+"""What one node knows of its own claims, and the tasks that write them to the table."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from time import time
+
+from curio import Event, TaskGroup
+from curio.task import Task
+
+from pollenbay.batch import BATCH_GAP_S, Batcher, make_batcher
+from pollenbay.claim import ClaimNonce
+from pollenbay.ids import Incarnation, InstanceId, RowKey
+from pollenbay.table import Table
+from pollenbay.timer import Timer
+
+RETENTION_S = 24 * 3600.0
+PURGE_PERIOD_S = 5.0
+RECORD_LIMIT = 1024
+
+
+@dataclass(slots=True)
+class ClaimCounts:
+    """What became of claims and records.
+
+    :param granted: claims taken.
+    :param repeats: requests told the stored answer.
+    :param duplicates: requests told that the first is still running.
+    :param mismatches: requests refused because the key was used for another request.
+    :param unsettled: requests told that the first has no known outcome.
+    :param unavailable: requests refused because the table could not be used.
+    :param recorded: answers stored.
+    :param released: claims given back.
+    :param lost: answers and releases given up.
+    :param removed: rows removed after their retention.
+    :param unreadable: rows that could not be decoded.
+    """
+
+    granted: int = 0
+    repeats: int = 0
+    duplicates: int = 0
+    mismatches: int = 0
+    unsettled: int = 0
+    unavailable: int = 0
+    recorded: int = 0
+    released: int = 0
+    lost: int = 0
+    removed: int = 0
+    unreadable: int = 0
+
+
+@dataclass(slots=True)
+class TableHealth:
+    """Whether the last use of the table by a claim succeeded.
+
+    :param probe_at: monotonic seconds from which one claim may try a failing table.
+    """
+
+    failing: bool = False
+    probe_at: float = 0.0
+
+
+@dataclass(slots=True)
+class Ledger:
+    """State of the claims of one node; `pollenbay.commands.claim` changes it.
+
+    :param clock: returns seconds since the epoch.
+    :param held: claims of this node whose calls are running, with their deadlines.
+    :param unsent: attempts that are known never to have been sent, though a row may name them.
+    :param records: answers and releases that are being written.
+    """
+
+    table: Table
+    instance: InstanceId
+    incarnation: Incarnation
+    timer: Timer
+    batcher: Batcher
+    retention_s: float = RETENTION_S
+    clock: Callable[[], float] = time
+    held: dict[RowKey, float] = field(default_factory=dict)
+    unsent: set[ClaimNonce] = field(default_factory=set)
+    records: int = 0
+    idle: Event = field(default_factory=Event)
+    health: TableHealth = field(default_factory=TableHealth)
+    counts: ClaimCounts = field(default_factory=ClaimCounts)
+    group: TaskGroup = field(default_factory=TaskGroup)
+
+    async def run(self) -> None:
+        """Write changes and keep records until cancelled."""
+        async with self.group as group:
+            await group.spawn(self.batcher.run)
+            await group.spawn(self._purge_each)
+            async for task in group:
+                task.joined = True
+
+    async def spawn(self, work: Callable[..., Awaitable[None]], *args: object) -> Task:
+        """Run a task that outlives the one that starts it."""
+        return await self.group.spawn(work, *args)
+
+    async def _purge_each(self) -> None:
+        ticks = self.timer.subscribe(PURGE_PERIOD_S)
+        while True:
+            await ticks.wait()
+            now = self.clock()
+            for key in [key for key, deadline in self.held.items() if deadline < now]:
+                del self.held[key]
+
+
+def make_ledger(
+    table: Table,
+    instance: InstanceId,
+    incarnation: Incarnation,
+    timer: Timer,
+    gap_s: float = BATCH_GAP_S,
+) -> Ledger:
+    """Return a ledger that holds no claims; its owner runs it in a task.
+
+    :param gap_s: least time in seconds between the starts of two transactions.
+    """
+    return Ledger(table, instance, incarnation, timer, make_batcher(table, gap_s))
--- /dev/null
+++ b/src/pollenbay/queries/claim.py
@@ -0,0 +1,115 @@
+"""What the row of a claim means to a request that finds it there."""
+
+from dataclasses import dataclass
+from functools import singledispatch
+
+from result import Err
+
+from pollenbay.claim import (
+    AnsweredRow,
+    AnyClaimRow,
+    ClaimedRow,
+    ClaimNonce,
+    ReleasedRow,
+    decode_row,
+)
+from pollenbay.ids import Digest, RowVersion
+from pollenbay.ledger import Ledger
+from pollenbay.outcome import Answered, NotRun, Unknown
+from pollenbay.states import Reason
+from pollenbay.table import Row
+
+ABSENT = RowVersion(0)
+
+
+@dataclass(frozen=True, slots=True)
+class Inquiry:
+    """Who asks about a row.
+
+    :param nonce: the attempt that asks.
+    :param unsent: attempts of the same node that were never sent.
+    :param now_epoch_s: seconds since the epoch.
+    """
+
+    nonce: ClaimNonce
+    fingerprint: Digest
+    unsent: frozenset[ClaimNonce] | set[ClaimNonce]
+    now_epoch_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Free:
+    """The key may be claimed by replacing this version of the row."""
+
+    version: RowVersion
+
+
+@dataclass(frozen=True, slots=True)
+class Mine:
+    """The row holds the claim of whoever asks."""
+
+    version: RowVersion
+
+
+@dataclass(frozen=True, slots=True)
+class Settled:
+    """Somebody else has or had the claim, so the request never runs."""
+
+    outcome: Answered | NotRun | Unknown
+
+
+Verdict = Free | Mine | Settled
+
+
+def may_try_table(ledger: Ledger, now: float) -> bool:
+    """Tell whether a claim may use the table, or whether it fails and no probe is due.
+
+    :param now: monotonic seconds.
+    """
+    return not ledger.health.failing or now >= ledger.health.probe_at
+
+
+def judge_row(row: Row | None, inquiry: Inquiry) -> Verdict:
+    """Return what a row, or its absence, means to a request."""
+    if row is None:
+        return Free(ABSENT)
+    decoded = decode_row(row.value)
+    if isinstance(decoded, Err):
+        return Settled(Unknown(Reason.ANSWER_BROKEN))
+    return judge(decoded.unwrap(), inquiry, row.version)
+
+
+@singledispatch
+def judge(row: AnyClaimRow, inquiry: Inquiry, version: RowVersion) -> Verdict:
+    """Return what the value of a row means to a request.
+
+    :raises TypeError: if no handler is registered for the type of the row.
+    """
+    raise TypeError(f"not a row of a claim: {type(row).__name__}")
+
+
+@judge.register
+def _(row: ReleasedRow, inquiry: Inquiry, version: RowVersion) -> Verdict:
+    return Free(version)
+
+
+@judge.register
+def _(row: AnsweredRow, inquiry: Inquiry, version: RowVersion) -> Verdict:
+    if row.fingerprint != inquiry.fingerprint:
+        return Settled(NotRun(Reason.BAD_REQUEST))
+    if not row.whole:
+        return Settled(Unknown(Reason.TOO_LARGE))
+    return Settled(Answered(row.status, row.headers, row.body))
+
+
+@judge.register
+def _(row: ClaimedRow, inquiry: Inquiry, version: RowVersion) -> Verdict:
+    if row.nonce == inquiry.nonce:
+        return Mine(version)
+    if row.nonce in inquiry.unsent:
+        return Free(version)
+    if row.fingerprint != inquiry.fingerprint:
+        return Settled(NotRun(Reason.BAD_REQUEST))
+    if inquiry.now_epoch_s <= row.deadline_epoch_s:
+        return Settled(Unknown(Reason.DUPLICATE))
+    return Settled(Unknown(Reason.DEADLINE))
