--- a/tests/table_double.py
+++ b/tests/table_double.py
@@ -1,10 +1,9 @@
-"""Table double for tests: the same methods as the client, each stopping for the driver's fault."""
+"""A table in memory with the faults that a claim can meet."""
 
-from collections.abc import Coroutine, Generator, Iterable
+from collections import deque
 from enum import Enum
-from types import coroutine
-from typing import Any
 
+from curio import Event
 from result import Err, Ok, Result
 
 from pollenbay.ids import RowKey, RowVersion
@@ -15,112 +14,107 @@
     TableError,
     TableUnavailableError,
     TableUnknownError,
-    Transaction,
     Write,
 )
+from pollenbay.timer import Timer
 
 
 class Fault(Enum):
-    """What happens to one request."""
+    """What goes wrong with one write."""
 
     NONE = "none"
-    DOWN = "down"
-    LOST_AFTER = "lost-after"
-    LOST_BEFORE = "lost-before"
-    DELAYED = "delayed"
-    STALE = "stale"
+    REFUSED = "refused"
+    ANSWER_LOST = "answer-lost"
+    NOT_ARRIVED = "not-arrived"
+    LATE = "late"
 
 
 class TableDouble:
-    """Rows in memory; `snapshot` sets what stale reads see."""
+    """Applies transactions to a dictionary.
+
+    :param faults: faults of the next writes, one each.
+    :param down: whether reads and writes fail without effect.
+    :param gate: if set, writes wait for it before they take effect.
+    """
 
     def __init__(self) -> None:
         self.rows: dict[RowKey, Row] = {}
-        self.applied: list[Transaction] = []
-        self.delayed: list[Transaction] = []
-        self._versions: dict[RowKey, int] = {}
-        self._stale: dict[RowKey, Row] = {}
-
-    def snapshot(self) -> None:
-        """Let stale reads see the rows as they are now."""
-        self._stale = dict(self.rows)
-
-    def deliver(self, index: int) -> None:
-        """Let a delayed transaction arrive."""
-        self.apply(self.delayed.pop(index))
-
-    def apply(self, transaction: Transaction) -> RowKey | None:
-        """Apply a transaction; return the key whose check failed."""
-        for check in transaction.checks:
-            row = self.rows.get(check.key)
-            if (row.version if row else 0) != check.version:
-                return check.key
-        for write in transaction.writes:
-            self.apply_write(write)
-        self.applied.append(transaction)
-        return None
-
-    def apply_write(self, write: Write) -> None:
-        """Write one row, unchecked."""
-        if write.value is None:
-            self.rows.pop(write.key, None)
-            return
-        version = self._versions.get(write.key, 0) + 1
-        self._versions[write.key] = version
-        self.rows[write.key] = Row(write.key, RowVersion(version), write.value)
+        self.versions: dict[RowKey, int] = {}
+        self.faults: deque[Fault] = deque()
+        self.late: list[tuple[list[Check], list[Write]]] = []
+        self.down = False
+        self.read_down = False
+        self.gate: Event | None = None
+        self.stale: dict[RowKey, Row] | None = None
+        self.sizes: list[int] = []
+        self.reads = 0
 
     async def get(self, key: RowKey) -> Result[Row | None, TableError]:
         """Read one row."""
-        rows = await self._read()
-        return rows.map(lambda found: found.get(key))
+        self.reads += 1
+        if self.down or self.read_down:
+            return Err(TableUnavailableError("down"))
+        rows = self.rows if self.stale is None else self.stale
+        return Ok(rows.get(key))
 
     async def scan(
         self, prefix: str, after: str = "", limit: int = 1000
     ) -> Result[list[Row], TableError]:
-        """Read rows by prefix."""
-        rows = await self._read()
-        return rows.map(
-            lambda found: [
-                found[key] for key in sorted(found) if key.startswith(prefix) and key > after
-            ][:limit]
-        )
+        """Read rows by key."""
+        keys = sorted(key for key in self.rows if key.startswith(prefix) and key > after)
+        return Ok([self.rows[key] for key in keys[:limit]])
 
     async def transact(self, checks: list[Check], writes: list[Write]) -> Result[None, TableError]:
-        """Apply all writes if all checks hold."""
-        fault = await _next_fault()
-        transaction = Transaction(list(checks), list(writes))
-        if fault is Fault.DOWN:
+        """Apply all or nothing, under the next fault."""
+        self.sizes.append(len(writes))
+        if self.gate is not None:
+            await self.gate.wait()
+        fault = self.faults.popleft() if self.faults else Fault.NONE
+        if self.down or fault is Fault.REFUSED:
             return Err(TableUnavailableError("down"))
-        if fault is Fault.DELAYED:
-            self.delayed.append(transaction)
-        if fault in (Fault.DELAYED, Fault.LOST_BEFORE):
-            return Err(TableUnknownError("lost"))
-        failed = self.apply(transaction)
-        if fault is Fault.LOST_AFTER:
-            return Err(TableUnknownError("lost"))
-        return Ok(None) if failed is None else Err(TableConflictError(failed))
-
-    async def _read(self) -> Result[dict[RowKey, Row], TableError]:
-        fault = await _next_fault()
-        if fault is Fault.STALE:
-            return Ok(self._stale)
-        if fault is Fault.NONE:
-            return Ok(self.rows)
-        return Err(TableUnavailableError("down"))
-
-
-@coroutine
-def _next_fault() -> Generator[None, Fault, Fault]:
-    return (yield)
-
-
-def drive(work: Coroutine[None, Fault, Any], faults: Iterable[Fault] = ()) -> Any:
-    """Run a coroutine to its end, with one fault for each request and none after the last."""
-    planned = iter(faults)
-    fault: Fault | None = None
-    while True:
-        try:
-            work.send(fault)
-        except StopIteration as stop:
-            return stop.value
-        fault = next(planned, Fault.NONE)
+        if fault is Fault.NOT_ARRIVED:
+            return Err(TableUnknownError("never arrived"))
+        if fault is Fault.LATE:
+            self.late.append((checks, writes))
+            return Err(TableUnknownError("arrives later"))
+        applied = self.apply(checks, writes)
+        if fault is Fault.ANSWER_LOST:
+            return Err(TableUnknownError("answer lost"))
+        return Ok(None) if applied else Err(TableConflictError("conflict"))
+
+    def land(self) -> None:
+        """Let the late writes arrive."""
+        late, self.late = self.late, []
+        for checks, writes in late:
+            self.apply(checks, writes)
+
+    def apply(self, checks: list[Check], writes: list[Write]) -> bool:
+        """Apply one transaction and tell whether its checks held."""
+        if any(self._version(check.key) != check.version for check in checks):
+            return False
+        for write in writes:
+            self._put(write)
+        return True
+
+    def _version(self, key: RowKey) -> int:
+        row = self.rows.get(key)
+        return 0 if row is None else row.version
+
+    def _put(self, write: Write) -> None:
+        version = self.versions.get(write.key, 0) + 1
+        self.versions[write.key] = version
+        self.rows.pop(write.key, None)
+        if write.value is not None:
+            self.rows[write.key] = Row(write.key, RowVersion(version), write.value)
+
+
+class ManualTimer(Timer):
+    """A timer whose clock stands still until a test moves it."""
+
+    def __init__(self, now: float = 1000.0) -> None:
+        super().__init__()
+        self.time_s = now
+
+    def now(self) -> float:
+        """Return the time set."""
+        return self.time_s
