--- /dev/null
+++ b/src/pollenbay/peer.py
@@ -0,0 +1,215 @@
+"""Exchanges between nodes over pynng: one question, one answer, all bounded in time.
+
+Under curio, cancelling pynng's own coroutines loses the cancellation or reads a message that is
+not there. Every wait here therefore ends by the socket's own time limit, with cancellation held
+back until then.
+"""
+
+from collections.abc import Awaitable, Callable
+
+from curio import disable_cancellation
+from pynng import Context, Rep0, Req0
+from pynng.exceptions import NNGException, Timeout
+
+from pollenbay.news import (
+    MESSAGE_LIMIT_BYTES,
+    Answer,
+    NewsDecodeError,
+    NewsError,
+    Question,
+    Refusal,
+    RefusedAnswer,
+    decode_answer,
+    decode_question,
+    encode_news,
+)
+
+EXCHANGE_TIMEOUT_MS = 800
+#: How long a waiting server holds back its cancellation.
+IDLE_TIMEOUT_MS = 500
+RECONNECT_MIN_MS = 100
+RECONNECT_MAX_MS = 1000
+QUESTION_LIMIT_BYTES = 256 * 1024
+SERVING_TASKS = 4
+
+
+class PeerError(Exception):
+    """Root of the errors of this layer."""
+
+
+class PeerListenError(PeerError):
+    """The port could not be opened."""
+
+
+class PeerSilentError(PeerError):
+    """No answer came in time."""
+
+
+class PeerAnswerError(PeerError):
+    """The answer could not be read or refused the question."""
+
+
+class PeerTraffic:
+    """Counts what passes between this node and others.
+
+    :ivar sent_bytes: payload bytes sent.
+    :ivar received_bytes: payload bytes received.
+    """
+
+    def __init__(self) -> None:
+        self.sent_bytes = 0
+        self.received_bytes = 0
+        self.questions_sent = 0
+        self.questions_served = 0
+        self.questions_refused = 0
+        self.exchanges_failed = 0
+
+
+class PeerLink:
+    """Asks one peer; the connection is opened and reopened in the background.
+
+    :param address: IP number of the peer.
+    :param port: its gossip port.
+    """
+
+    def __init__(self, address: str, port: int, traffic: PeerTraffic) -> None:
+        self._traffic = traffic
+        self._sock = Req0(
+            recv_timeout=EXCHANGE_TIMEOUT_MS,
+            send_timeout=EXCHANGE_TIMEOUT_MS,
+            reconnect_time_min=RECONNECT_MIN_MS,
+            reconnect_time_max=RECONNECT_MAX_MS,
+            recv_max_size=MESSAGE_LIMIT_BYTES,
+        )
+        self._sock.dial(f"tcp://{address}:{port}", block=False)
+
+    async def ask(self, question: Question) -> Answer:
+        """Send a question and return its answer.
+
+        :raises PeerSilentError: if none came in time.
+        :raises PeerAnswerError: if it makes no sense.
+        """
+        data = encode_news(question)
+        self._traffic.questions_sent += 1
+        try:
+            answer = await self._exchange(data)
+        except NNGException as error:
+            self._traffic.exchanges_failed += 1
+            raise PeerSilentError(str(error)) from error
+        self._traffic.sent_bytes += len(data)
+        self._traffic.received_bytes += len(answer)
+        return _read_answer(answer)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._sock.close()
+
+    async def _exchange(self, data: bytes) -> bytes:
+        async with disable_cancellation():
+            await self._sock.asend(data)
+            return await self._sock.arecv()
+
+
+class PeerServer:
+    """Answers other nodes.
+
+    :param port: 0 for any free one.
+    """
+
+    def __init__(self, address: str, port: int, traffic: PeerTraffic) -> None:
+        self._traffic = traffic
+        self._sock = Rep0(
+            recv_timeout=IDLE_TIMEOUT_MS,
+            send_timeout=EXCHANGE_TIMEOUT_MS,
+            recv_max_size=QUESTION_LIMIT_BYTES,
+        )
+        try:
+            listener = self._sock.listen(f"tcp://{address}:{port}")
+        except NNGException as error:
+            self._sock.close()
+            raise PeerListenError(f"{address}:{port}: {error}") from error
+        self._port = _bound_port(listener.url)
+
+    @property
+    def port(self) -> int:
+        """Return the port that is bound."""
+        return self._port
+
+    async def serve(self, respond: Callable[[Question], Awaitable[Answer]]) -> None:
+        """Answer one question after another until cancelled; run `SERVING_TASKS` of these."""
+        context = self._sock.new_context()
+        try:
+            while True:
+                data = await _receive(context)
+                if data is not None:
+                    await self._serve_one(context, data, respond)
+        finally:
+            context.close()
+
+    def close(self) -> None:
+        """Close the port and all connections."""
+        self._sock.close()
+
+    async def _serve_one(
+        self, context: Context, data: bytes, respond: Callable[[Question], Awaitable[Answer]]
+    ) -> None:
+        self._traffic.received_bytes += len(data)
+        answer = encode_news(await self._answer(data, respond))
+        try:
+            async with disable_cancellation():
+                await context.asend(answer)
+        except NNGException:
+            self._traffic.exchanges_failed += 1
+            return
+        self._traffic.sent_bytes += len(answer)
+
+    async def _answer(
+        self, data: bytes, respond: Callable[[Question], Awaitable[Answer]]
+    ) -> Answer:
+        try:
+            question = decode_question(data)
+        except NewsError:
+            self._traffic.questions_refused += 1
+            return RefusedAnswer(Refusal.BAD_MESSAGE)
+        self._traffic.questions_served += 1
+        return await respond(question)
+
+
+def make_peer_link(address: str, port: int, traffic: PeerTraffic) -> PeerLink:
+    """Return a link that connects in the background."""
+    return PeerLink(address, port, traffic)
+
+
+def make_peer_server(address: str, port: int, traffic: PeerTraffic) -> PeerServer:
+    """Return a server that listens.
+
+    :raises PeerListenError: if the port cannot be opened.
+    """
+    return PeerServer(address, port, traffic)
+
+
+def make_peer_traffic() -> PeerTraffic:
+    """Return counters at zero."""
+    return PeerTraffic()
+
+
+async def _receive(context: Context) -> bytes | None:
+    try:
+        async with disable_cancellation():
+            return await context.arecv()
+    except Timeout:
+        return None
+
+
+def _read_answer(data: bytes) -> Answer:
+    try:
+        answer = decode_answer(data)
+    except NewsDecodeError as error:
+        raise PeerAnswerError(str(error)) from error
+    if isinstance(answer, RefusedAnswer):
+        raise PeerAnswerError(answer.reason.value)
+    return answer
+
+
+def _bound_port(url: str) -> int:
+    return int(url.rpartition(":")[2])
--- /dev/null
+++ b/src/pollenbay/queries/delta.py
@@ -0,0 +1,69 @@
+"""What one rule set lacks of another, so that a new version costs only what it changes."""
+
+from hashlib import blake2b
+
+from msgspec.msgpack import encode
+
+from pollenbay.ids import Digest, OperatorId, RuleVersion, ServiceName
+from pollenbay.news import RulesAnswer, RulesRequest
+from pollenbay.rule import RuleSet, ServiceRule
+
+HASH_BYTES = 8
+
+_NOTHING_NEWER = RulesAnswer(
+    version=RuleVersion(0),
+    digest=Digest(""),
+    author=OperatorId(""),
+    published_at=0.0,
+    order=(),
+    changed=(),
+)
+
+
+def request_rules(rules: RuleSet, whole: bool = False) -> RulesRequest:
+    """Return the question for newer rules.
+
+    :param whole: whether to ask for all services, as if none were held.
+    """
+    services = () if whole else rules.services
+    return RulesRequest(rules.version, {rule.service: _hash_of(rule) for rule in services})
+
+
+def answer_rules(rules: RuleSet, request: RulesRequest) -> RulesAnswer:
+    """Return what the asker lacks of a rule set."""
+    if rules.version <= request.above:
+        return _NOTHING_NEWER
+    held = request.held
+    changed = (rule for rule in rules.services if held.get(rule.service) != _hash_of(rule))
+    return RulesAnswer(
+        version=rules.version,
+        digest=rules.digest,
+        author=rules.author,
+        published_at=rules.published_at,
+        order=tuple(rule.service for rule in rules.services),
+        changed=tuple(changed),
+    )
+
+
+def assemble_rules(held: RuleSet, answer: RulesAnswer) -> RuleSet | None:
+    """Return the rule set that an answer describes; None if it is not newer or not whole.
+
+    Whether it is what was published is told by its digest, when it is adopted.
+    """
+    if answer.version <= held.version:
+        return None
+    known: dict[ServiceName, ServiceRule] = {rule.service: rule for rule in held.services}
+    known.update({rule.service: rule for rule in answer.changed})
+    if not all(service in known for service in answer.order):
+        return None
+    return RuleSet(
+        version=answer.version,
+        digest=answer.digest,
+        author=answer.author,
+        published_at=answer.published_at,
+        services=tuple(known[service] for service in answer.order),
+    )
+
+
+def _hash_of(rule: ServiceRule) -> int:
+    return int.from_bytes(blake2b(encode(rule), digest_size=HASH_BYTES).digest(), "big")
--- /dev/null
+++ b/src/pollenbay/rendezvous.py
@@ -0,0 +1,140 @@
+"""Rows by which nodes find each other in the platform's table: an address book, not a lease."""
+
+from msgspec import DecodeError, Struct, ValidationError
+from msgspec.json import decode, encode
+from result import Ok, Result
+
+from pollenbay.ids import Incarnation, InstanceId, RowKey, RuleVersion, ZoneId
+from pollenbay.news import Record
+from pollenbay.table import Check, Row, Table, TableError, Write
+
+NODES_PREFIX = "nodes/"
+HISTORY_PREFIX = "rules/history/"
+#: Reads and writes a second by which all nodes together may load the table for these rows.
+ANNOUNCEMENTS_PER_S = 20.0
+POLLS_PER_S = 100.0
+ANNOUNCE_MIN_S = 60.0
+POLL_MIN_S = 2.0
+ZONE_SEED_ROWS = 32
+WORLD_SEED_ROWS = 32
+#: Age in announcement periods after which a row counts as abandoned.
+ABANDONED_PERIODS = 20
+REMOVALS_LIMIT = 16
+#: Sorts after every character of a name.
+LAST_CHARACTER = "\U0010ffff"
+
+
+class NodeRow(Struct, frozen=True):
+    """One node's row.
+
+    :param written_at: seconds since the epoch, by the node's clock.
+    """
+
+    instance: InstanceId
+    incarnation: Incarnation
+    address: str
+    gossip_port: int
+    written_at: float
+
+
+def row_key(zone: ZoneId, instance: InstanceId) -> RowKey:
+    """Return the key of a node's row."""
+    return RowKey(f"{NODES_PREFIX}{zone}/{instance}")
+
+
+def announce_period_s(members: int) -> float:
+    """Return the time between two writes of a node's row in a group of this size."""
+    return max(ANNOUNCE_MIN_S, members / ANNOUNCEMENTS_PER_S)
+
+
+def poll_period_s(members: int) -> float:
+    """Return the time between two looks for a new rule version in a group of this size."""
+    return max(POLL_MIN_S, members / POLLS_PER_S)
+
+
+async def announce_node(table: Table, record: Record, epoch_s: float) -> Result[None, TableError]:
+    """Write a node's row; writing it twice does no harm."""
+    row = NodeRow(
+        record.instance, record.incarnation, record.address, record.gossip_port, epoch_s
+    )
+    key = row_key(record.zone, record.instance)
+    return await table.transact([], [Write(key, encode(row))])
+
+
+async def withdraw_node(table: Table, record: Record) -> Result[None, TableError]:
+    """Remove a node's row."""
+    return await table.transact([], [Write(row_key(record.zone, record.instance), None)])
+
+
+async def read_incarnation(table: Table, record: Record) -> Result[Incarnation, TableError]:
+    """Return the incarnation in a node's row; 0 if there is none."""
+    result = await table.get(row_key(record.zone, record.instance))
+    return result.map(lambda row: _incarnation_in(row))
+
+
+async def read_seeds(table: Table, record: Record) -> Result[list[NodeRow], TableError]:
+    """Return a bounded number of other nodes: of the own zone, and of the zones past it.
+
+    Each node starts at its own name, so that not all of them meet the same seeds.
+    """
+    zone_prefix = f"{NODES_PREFIX}{record.zone}/"
+    scans = (
+        (zone_prefix, row_key(record.zone, record.instance), ZONE_SEED_ROWS),
+        (zone_prefix, "", ZONE_SEED_ROWS),
+        (NODES_PREFIX, zone_prefix + LAST_CHARACTER, WORLD_SEED_ROWS),
+        (NODES_PREFIX, "", WORLD_SEED_ROWS),
+    )
+    found: dict[InstanceId, NodeRow] = {}
+    for prefix, after, limit in scans:
+        result = await table.scan(prefix, after, limit)
+        if result.is_err():
+            return result
+        found.update(_node_rows(result.ok_value))
+    found.pop(record.instance, None)
+    return Ok(list(found.values()))
+
+
+async def remove_abandoned(
+    table: Table, record: Record, epoch_s: float, members: int
+) -> Result[int, TableError]:
+    """Remove a few rows of the own zone that nobody has renewed for long; return how many."""
+    result = await table.scan(
+        f"{NODES_PREFIX}{record.zone}/", row_key(record.zone, record.instance), ZONE_SEED_ROWS
+    )
+    if result.is_err():
+        return result
+    oldest = epoch_s - ABANDONED_PERIODS * announce_period_s(members)
+    rows = [row for row in result.ok_value if _is_older(row, oldest)][:REMOVALS_LIMIT]
+    if not rows:
+        return Ok(0)
+    checks = [Check(row.key, row.version) for row in rows]
+    removed = await table.transact(checks, [Write(row.key, None) for row in rows])
+    return removed.map(lambda _: len(rows))
+
+
+async def has_newer_rules(table: Table, version: RuleVersion) -> Result[bool, TableError]:
+    """Tell whether a version above this one was published, by a read that is mostly empty."""
+    result = await table.scan(HISTORY_PREFIX, f"{HISTORY_PREFIX}{version:010d}", 1)
+    return result.map(bool)
+
+
+def _incarnation_in(row: Row | None) -> Incarnation:
+    node = None if row is None else _node_row(row)
+    return Incarnation(0) if node is None else node.incarnation
+
+
+def _is_older(row: Row, epoch_s: float) -> bool:
+    node = _node_row(row)
+    return node is not None and node.written_at < epoch_s
+
+
+def _node_rows(rows: list[Row]) -> dict[InstanceId, NodeRow]:
+    nodes = [_node_row(row) for row in rows]
+    return {node.instance: node for node in nodes if node is not None}
+
+
+def _node_row(row: Row) -> NodeRow | None:
+    try:
+        return decode(row.value, type=NodeRow)
+    except (DecodeError, ValidationError):
+        return None
--- a/src/pollenbay/view.py
+++ b/src/pollenbay/view.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from dataclasses import dataclass, field
+from hashlib import blake2b
 
 from pollenbay.ids import (
     HostId,
@@ -14,6 +15,10 @@
 )
 from pollenbay.states import MemberState
 
+#: Buckets of the view's summary; two views compare bucket by bucket.
+SUMMARY_BUCKETS = 64
+MARK_BYTES = 8
+
 
 @dataclass(frozen=True, slots=True)
 class Place:
@@ -55,6 +60,10 @@
 
     :param heard_at: monotonic seconds at which it was last known to be alive.
     :param first_seen_at: monotonic seconds at which this incarnation appeared.
+    :param sequence: grows each time the member changes its own state within an incarnation.
+    :param state_at: monotonic seconds at which this node learned of the state.
+    :param rule_since: when the member adopted its rules, in seconds since the epoch.
+    :param tick: counter of the member's own reports; the highest one is the newest.
     """
 
     instance: InstanceId
@@ -67,6 +76,10 @@
     first_seen_at: float
     rule_version: RuleVersion = RuleVersion(0)
     load: Load = field(default_factory=Load)
+    sequence: int = 0
+    state_at: float = 0.0
+    rule_since: float = 0.0
+    tick: int = 0
 
 
 class View:
@@ -75,6 +88,19 @@
     def __init__(self) -> None:
         self._members: dict[InstanceId, Member] = {}
         self._by_service: dict[ServiceName, dict[InstanceId, Member]] = {}
+        self._marks: dict[InstanceId, tuple[int, int]] = {}
+        self._summary = [0] * SUMMARY_BUCKETS
+        self._changes = 0
+
+    @property
+    def changes(self) -> int:
+        """Return how often a member was put or removed."""
+        return self._changes
+
+    @property
+    def summary(self) -> list[int]:
+        """Return one 64-bit sum for each bucket; equal for views that hold the same news."""
+        return self._summary
 
     @property
     def members(self) -> dict[InstanceId, Member]:
@@ -90,14 +116,40 @@
         self.remove(member.instance)
         self._members[member.instance] = member
         self._by_service.setdefault(member.service, {})[member.instance] = member
+        self._add_mark(member)
+        self._changes += 1
 
     def remove(self, instance: InstanceId) -> None:
         """Forget a member, if it is known."""
         member = self._members.pop(instance, None)
         if member is not None:
             self._by_service[member.service].pop(instance, None)
+            bucket, mark = self._marks.pop(instance)
+            self._summary[bucket] ^= mark
+            self._changes += 1
+
+    def _add_mark(self, member: Member) -> None:
+        bucket, mark = bucket_of(member.instance), mark_of(member)
+        self._marks[member.instance] = (bucket, mark)
+        self._summary[bucket] ^= mark
 
 
 def make_view() -> View:
     """Return an empty view."""
     return View()
+
+
+def bucket_of(instance: InstanceId) -> int:
+    """Return the bucket of the summary that an instance belongs to."""
+    return blake2b(instance.encode(), digest_size=1).digest()[0] % SUMMARY_BUCKETS
+
+
+def mark_of(member: Member) -> int:
+    """Return a 64-bit hash of what is known of a member; 0 for a dead one.
+
+    Dead members count for nothing, so that views which forget them at other times still agree.
+    """
+    if member.state is MemberState.DEAD:
+        return 0
+    text = f"{member.instance}/{member.incarnation}/{member.sequence}/{member.state.value}"
+    return int.from_bytes(blake2b(text.encode(), digest_size=MARK_BYTES).digest(), "big")
