--- a/src/pollenbay/view.py
+++ b/src/pollenbay/view.py
@@ -88,14 +88,15 @@
     def __init__(self) -> None:
         self._members: dict[InstanceId, Member] = {}
         self._by_service: dict[ServiceName, dict[InstanceId, Member]] = {}
+        self._changes: dict[ServiceName, int] = {}
         self._marks: dict[InstanceId, tuple[int, int]] = {}
         self._summary = [0] * SUMMARY_BUCKETS
-        self._changes = 0
+        self._total_changes = 0
 
     @property
-    def changes(self) -> int:
+    def total_changes(self) -> int:
         """Return how often a member was put or removed."""
-        return self._changes
+        return self._total_changes
 
     @property
     def summary(self) -> list[int]:
@@ -111,28 +112,50 @@
         """Return the members of a service."""
         return self._by_service.get(service, {}).values()
 
+    def changes_of(self, service: ServiceName) -> int:
+        """Return a count that grows when a member comes, goes, or changes state or place."""
+        return self._changes.get(service, 0)
+
     def put(self, member: Member) -> None:
         """Add a member or replace what was known of it."""
-        self.remove(member.instance)
+        old = self._take(member.instance)
         self._members[member.instance] = member
         self._by_service.setdefault(member.service, {})[member.instance] = member
         self._add_mark(member)
-        self._changes += 1
+        self._total_changes += 1
+        if old is None or _changes_candidates(old, member):
+            self._count_change(member.service)
+        if old is not None and old.service != member.service:
+            self._count_change(old.service)
 
     def remove(self, instance: InstanceId) -> None:
         """Forget a member, if it is known."""
+        old = self._take(instance)
+        if old is not None:
+            self._total_changes += 1
+            self._count_change(old.service)
+
+    def _take(self, instance: InstanceId) -> Member | None:
         member = self._members.pop(instance, None)
         if member is not None:
             self._by_service[member.service].pop(instance, None)
             bucket, mark = self._marks.pop(instance)
             self._summary[bucket] ^= mark
-            self._changes += 1
+        return member
 
     def _add_mark(self, member: Member) -> None:
         bucket, mark = bucket_of(member.instance), mark_of(member)
         self._marks[member.instance] = (bucket, mark)
         self._summary[bucket] ^= mark
 
+    def _count_change(self, service: ServiceName) -> None:
+        self._changes[service] = self._changes.get(service, 0) + 1
+
+
+def _changes_candidates(old: Member, new: Member) -> bool:
+    same_place = old.service == new.service and old.place == new.place
+    return old.state is not new.state or not same_place
+
 
 def make_view() -> View:
     """Return an empty view."""
