--- a/src/pollenbay/commands/heartbeat.py
+++ b/src/pollenbay/commands/heartbeat.py
@@ -1,10 +1,9 @@
 """What a heartbeat says, and what it changes on the node that receives it."""
 
-from dataclasses import dataclass
 from random import Random
 
 from pollenbay.commands.membership import apply_record, apply_report, drop_contact, hear
-from pollenbay.gossip import Gossip
+from pollenbay.gossip import Clock, Gossip
 from pollenbay.ids import InstanceId
 from pollenbay.news import NEWS_LIMIT, REPORT_LIMIT, Heartbeat, Record, Report
 from pollenbay.queries.membership import record_of, standing_of, view_digest
@@ -13,18 +12,6 @@
 from pollenbay.view import Member, View
 
 
-@dataclass(frozen=True, slots=True)
-class Clock:
-    """One moment on the two clocks that the gossip needs.
-
-    :param now: monotonic seconds.
-    :param epoch_ms: milliseconds since the epoch.
-    """
-
-    now: float
-    epoch_ms: int
-
-
 def renew_report(gossip: Gossip, view: View, rulebook: Rulebook) -> None:
     """Make a new report of this node, which others prefer to the earlier ones."""
     gossip.tick += 1
@@ -79,15 +66,15 @@
     gossip.counts.heartbeats_received += 1
     sender = beat.sender.instance
     if sender == gossip.own:
-        apply_record(gossip, view, beat.sender, clock.now, clock.epoch_ms, sender)
+        apply_record(gossip, view, beat.sender, clock, sender)
         return
     absorb_records(gossip, view, [beat.sender, *beat.news], sender, clock)
     if not _is_current(view, beat.sender):
         return
     hear(gossip, view, sender, clock.now)
-    apply_report(gossip, view, beat.report)
+    apply_report(gossip, view, beat.report, clock.now)
     for report in beat.reports:
-        apply_report(gossip, view, report)
+        apply_report(gossip, view, report, clock.now)
 
 
 def absorb_question(gossip: Gossip, view: View, beat: Heartbeat, clock: Clock) -> None:
@@ -107,7 +94,7 @@
     """Take in records told by a member and return how many were news."""
     news = 0
     for record in records:
-        news += apply_record(gossip, view, record, clock.now, clock.epoch_ms, source)
+        news += apply_record(gossip, view, record, clock, source)
     return news
 
 
--- a/src/pollenbay/commands/membership.py
+++ b/src/pollenbay/commands/membership.py
@@ -12,6 +12,7 @@
     SUSPECT_HOLD_S,
     SUSPECT_S,
     TOMBSTONE_S,
+    Clock,
     Contact,
     Gossip,
 )
@@ -24,26 +25,25 @@
 
 
 def apply_record(
-    gossip: Gossip, view: View, record: Record, now: float, epoch_ms: int, source: InstanceId
+    gossip: Gossip, view: View, record: Record, clock: Clock, source: InstanceId
 ) -> bool:
     """Take in news of a member and tell whether it changed anything.
 
-    :param epoch_ms: milliseconds since the epoch, the source of new incarnations.
     :param source: who told it, and so need not be told.
     """
     if record.instance == gossip.own:
-        return refute(gossip, view, record, now, epoch_ms)
+        return refute(gossip, view, record, clock)
     member = view.members.get(record.instance)
     if not supersedes(record, member):
         gossip.counts.records_ignored += 1
         return False
-    view.put(_merge(member, record, now))
+    view.put(_merge(member, record, clock.now))
     gossip.counts.records_applied += 1
     _spread(gossip, record.instance, source)
     return True
 
 
-def refute(gossip: Gossip, view: View, record: Record, now: float, epoch_ms: int) -> bool:
+def refute(gossip: Gossip, view: View, record: Record, clock: Clock) -> bool:
     """Answer news of this node itself that is newer than its own state.
 
     A suspicion is answered by a higher sequence, a death or a later run by a new incarnation.
@@ -53,14 +53,20 @@
         return False
     if record.incarnation == me.incarnation and record.state is MemberState.SUSPECT:
         gossip.counts.refutations += 1
-        _put_own(gossip, view, replace(me, sequence=record.sequence + 1, state_at=now))
+        _put_own(gossip, view, replace(me, sequence=record.sequence + 1, state_at=clock.now))
         return True
-    if now - gossip.reincarnated_at < REINCARNATE_GAP_S:
+    if clock.now - gossip.reincarnated_at < REINCARNATE_GAP_S:
         return False
-    gossip.reincarnated_at = now
-    gossip.counts.reincarnations += 1
-    incarnation = next_incarnation(record.incarnation, epoch_ms)
-    _put_own(gossip, view, replace(me, incarnation=incarnation, sequence=0, state_at=now))
+    gossip.reincarnated_at = clock.now
+    _reincarnate(gossip, view, record.incarnation, clock)
+    return True
+
+
+def raise_incarnation(gossip: Gossip, view: View, known: Incarnation, clock: Clock) -> bool:
+    """Pass the incarnation of an earlier run, in case the wall clock was set back since."""
+    if known <= view.members[gossip.own].incarnation:
+        return False
+    _reincarnate(gossip, view, known, clock)
     return True
 
 
@@ -78,7 +84,7 @@
     return True
 
 
-def apply_report(gossip: Gossip, view: View, report: Report) -> bool:
+def apply_report(gossip: Gossip, view: View, report: Report, now: float) -> bool:
     """Take in a member's report, if it is newer than the last one of the same incarnation."""
     member = view.members.get(report.instance)
     if member is None or report.instance == gossip.own:
@@ -86,6 +92,7 @@
     if report.incarnation != member.incarnation or report.tick <= member.tick:
         return False
     member.tick = report.tick
+    member.heard_at = now
     member.rule_version = report.rule_version
     member.rule_since = report.rule_since
     member.load = Load(report.in_flight, report.limit, report.queued, report.admitted_rank)
@@ -234,6 +241,13 @@
     return fresh
 
 
+def _reincarnate(gossip: Gossip, view: View, known: Incarnation, clock: Clock) -> None:
+    gossip.counts.reincarnations += 1
+    incarnation = next_incarnation(known, clock.epoch_ms)
+    me = view.members[gossip.own]
+    _put_own(gossip, view, replace(me, incarnation=incarnation, sequence=0, state_at=clock.now))
+
+
 def _put_own(gossip: Gossip, view: View, me: Member) -> None:
     view.put(me)
     _spread(gossip, gossip.own, gossip.own)
--- /dev/null
+++ b/src/pollenbay/commands/pulling.py
@@ -0,0 +1,118 @@
+"""Rules from elsewhere: pulled from a node that has newer ones, or read from the table."""
+
+from logging import getLogger
+
+from curio import check_cancellation
+
+from pollenbay.ids import InstanceId
+from pollenbay.membership import Membership, RuleSource
+from pollenbay.news import Heartbeat, RulesAnswer
+from pollenbay.peer import PeerError, PeerLink, make_peer_link
+from pollenbay.queries.delta import assemble_rules, request_rules
+from pollenbay.rendezvous import has_newer_rules, poll_period_s
+from pollenbay.rule import RuleSet
+
+LOG = getLogger("pollenbay.membership")
+TABLE_TICK_S = 1.0
+#: Bounds of the random factor on the period between two reads of the table.
+JITTER = (0.75, 1.25)
+SOURCES_LIMIT = 8
+
+
+def note_version(membership: Membership, beat: Heartbeat) -> None:
+    """Remember a node that says that it has newer rules."""
+    sender, version = beat.sender, beat.report.rule_version
+    if version <= membership.rulebook.version or len(membership.newer) >= SOURCES_LIMIT:
+        return
+    source = RuleSource(version, sender.address, sender.gossip_port)
+    membership.newer[sender.instance] = source
+
+
+async def run_pulls(membership: Membership) -> None:
+    """Pull newer rules whenever a node has some."""
+    while True:
+        await membership.newer_event.wait()
+        membership.newer_event.clear()
+        while membership.newer:
+            await _pull_newest(membership)
+            await check_cancellation()
+
+
+async def run_polls(membership: Membership) -> None:
+    """Look for newer rules in the table, the less often the more nodes there are."""
+    ticks = membership.timer.subscribe(TABLE_TICK_S)
+    next_at = membership.timer.now()
+    while True:
+        if membership.timer.now() >= next_at:
+            await poll_table(membership)
+            period_s = poll_period_s(len(membership.view.members))
+            next_at = membership.timer.now() + period_s * membership.rng.uniform(*JITTER)
+        await ticks.wait()
+
+
+async def poll_table(membership: Membership) -> None:
+    """Take the table's rules if they are newer."""
+    newer = await has_newer_rules(membership.table, membership.rulebook.version)
+    if newer.is_ok() and newer.ok_value:
+        await _read_table(membership)
+    membership.table_asked = True
+
+
+async def adopt_rules(membership: Membership, rules: RuleSet) -> bool:
+    """Put newer rules in force and tell all peers at once; tell whether they were newer."""
+    before = membership.rulebook.version
+    membership.adopt(membership.rulebook, rules, membership.timer.epoch())
+    after = membership.rulebook.version
+    if after == before:
+        return False
+    LOG.info("rules adopted", extra={"before": before, "after": after})
+    for ticks in list(membership.ticks.values()):
+        await ticks.fire()
+    return True
+
+
+async def _read_table(membership: Membership) -> None:
+    result = await membership.read_rules(membership.table)
+    if result.is_ok() and result.ok_value is not None:
+        await adopt_rules(membership, result.ok_value)
+
+
+async def _pull_newest(membership: Membership) -> None:
+    newest = max(membership.newer, key=lambda each: membership.newer[each].version)
+    source = membership.newer.pop(newest)
+    if source.version > membership.rulebook.version:
+        await _pull(membership, source, newest)
+    _drop_outdated(membership)
+
+
+async def _pull(membership: Membership, source: RuleSource, instance: InstanceId) -> None:
+    counts = membership.gossip.counts
+    link = make_peer_link(source.address, source.gossip_port, membership.traffic)
+    try:
+        adopted = await _pull_part(membership, link, False)
+        adopted = adopted or await _pull_part(membership, link, True)
+    except PeerError as error:
+        adopted = False
+        LOG.warning("rules not pulled", extra={"peer": instance, "error": str(error)})
+    finally:
+        link.close()
+    if adopted:
+        counts.rules_pulled += 1
+    else:
+        counts.rules_pulls_failed += 1
+
+
+async def _pull_part(membership: Membership, link: PeerLink, whole: bool) -> bool:
+    held = membership.rulebook.rules
+    answer = await link.ask(request_rules(held, whole))
+    if not isinstance(answer, RulesAnswer):
+        return False
+    rules = assemble_rules(held, answer)
+    return rules is not None and await adopt_rules(membership, rules)
+
+
+def _drop_outdated(membership: Membership) -> None:
+    version = membership.rulebook.version
+    for instance, source in list(membership.newer.items()):
+        if source.version <= version:
+            del membership.newer[instance]
--- a/src/pollenbay/gossip.py
+++ b/src/pollenbay/gossip.py
@@ -33,6 +33,18 @@
 REPORTS_KEPT = 256
 
 
+@dataclass(frozen=True, slots=True)
+class Clock:
+    """One moment on the two clocks that the gossip needs.
+
+    :param now: monotonic seconds.
+    :param epoch_ms: milliseconds since the epoch.
+    """
+
+    now: float
+    epoch_ms: int
+
+
 @dataclass(slots=True)
 class Contact:
     """A member that this node exchanges heartbeats with.
--- a/src/pollenbay/rendezvous.py
+++ b/src/pollenbay/rendezvous.py
@@ -54,9 +54,7 @@
 
 async def announce_node(table: Table, record: Record, epoch_s: float) -> Result[None, TableError]:
     """Write a node's row; writing it twice does no harm."""
-    row = NodeRow(
-        record.instance, record.incarnation, record.address, record.gossip_port, epoch_s
-    )
+    row = NodeRow(record.instance, record.incarnation, record.address, record.gossip_port, epoch_s)
     key = row_key(record.zone, record.instance)
     return await table.transact([], [Write(key, encode(row))])
 
--- a/src/pollenbay/view.py
+++ b/src/pollenbay/view.py
@@ -60,9 +60,9 @@
 
     :param heard_at: monotonic seconds at which it was last known to be alive.
     :param first_seen_at: monotonic seconds at which this incarnation appeared.
+    :param rule_since: seconds since the epoch from which it runs its rule version, as it reports.
     :param sequence: grows each time the member changes its own state within an incarnation.
     :param state_at: monotonic seconds at which this node learned of the state.
-    :param rule_since: when the member adopted its rules, in seconds since the epoch.
     :param tick: counter of the member's own reports; the highest one is the newest.
     """
 
@@ -75,10 +75,10 @@
     heard_at: float
     first_seen_at: float
     rule_version: RuleVersion = RuleVersion(0)
+    rule_since: float = 0.0
     load: Load = field(default_factory=Load)
     sequence: int = 0
     state_at: float = 0.0
-    rule_since: float = 0.0
     tick: int = 0
 
 
