--- /dev/null
+++ b/tests/harness.py
@@ -0,0 +1,295 @@
+"""Real processes for integration tests: started, asked, stopped, and ended by id.
+
+Every wait has a deadline. `Processes` is a context manager that ends whatever it started.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Callable
+from contextlib import contextmanager
+from dataclasses import dataclass, field
+from http.client import HTTPConnection, HTTPException, HTTPResponse
+from pathlib import Path
+from select import select
+from socket import socket
+from typing import Any, TypeVar
+
+import yaml
+
+ADDRESS = "127.0.0.1"
+READY_WITHIN_S = 20.0
+EXIT_WITHIN_S = 20.0
+ANSWER_WITHIN_S = 10.0
+POLL_S = 0.05
+SOURCE = Path(__file__).resolve().parent.parent / "src"
+
+T = TypeVar("T")
+
+
+class HarnessError(AssertionError):
+    """A process or an answer did not come in time."""
+
+
+@dataclass(slots=True)
+class Process:
+    """One running process.
+
+    :param ready: the line that it printed when it listened.
+    """
+
+    name: str
+    popen: subprocess.Popen[bytes]
+    error_path: Path
+    ready: dict[str, Any] = field(default_factory=dict)
+
+    @property
+    def pid(self) -> int:
+        """Return its id."""
+        return self.popen.pid
+
+    @property
+    def port(self) -> int:
+        """Return the port that it serves."""
+        return self.ready["port"]
+
+    @property
+    def control_port(self) -> int:
+        """Return the port that takes faults and questions."""
+        return self.ready.get("control_port", 0) or self.port
+
+    @property
+    def alive(self) -> bool:
+        """Tell whether it runs."""
+        return self.popen.poll() is None
+
+    def pause(self) -> None:
+        """Stop it with SIGSTOP, and wait until it has stopped."""
+        os.kill(self.pid, signal.SIGSTOP)
+        wait_until(lambda: self._state() == "T", 5.0, f"{self.name} to pause")
+
+    def resume(self) -> None:
+        """Let it go on with SIGCONT."""
+        os.kill(self.pid, signal.SIGCONT)
+
+    def terminate(self) -> None:
+        """Ask it to stop with SIGTERM."""
+        self.popen.send_signal(signal.SIGTERM)
+
+    def kill(self) -> None:
+        """End it at once, also when it is paused, and wait for its end."""
+        if self.alive:
+            self.popen.kill()
+        self.popen.wait(EXIT_WITHIN_S)
+
+    def wait(self, within_s: float = EXIT_WITHIN_S) -> int:
+        """Wait for its end and return its exit code."""
+        try:
+            return self.popen.wait(within_s)
+        except subprocess.TimeoutExpired as error:
+            raise HarnessError(f"{self.name} still runs after {within_s} s") from error
+
+    def errors(self) -> str:
+        """Return what it wrote to standard error."""
+        return self.error_path.read_text(encoding="utf-8", errors="replace")
+
+    def _state(self) -> str:
+        stat = Path(f"/proc/{self.pid}/stat").read_text(encoding="ascii")
+        return stat.rpartition(")")[2].split()[0]
+
+
+@dataclass(slots=True)
+class Answer:
+    """One whole HTTP answer; header names are in lower case."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+    def json(self) -> Any:
+        """Return the body as JSON."""
+        return json.loads(self.body)
+
+
+class Processes:
+    """The processes of one test.
+
+    :param folder: where settings and error output go, such as `tmp_path`.
+    """
+
+    def __init__(self, folder: Path) -> None:
+        self._folder = folder
+        self._started: list[Process] = []
+
+    def __enter__(self) -> Processes:
+        return self
+
+    def __exit__(self, *details: object) -> None:
+        for process in reversed(self._started):
+            process.kill()
+            if process.popen.stdout is not None:
+                process.popen.stdout.close()
+
+    def start(self, name: str, module: str, *arguments: str) -> Process:
+        """Start ``python -m module`` and wait until it says that it listens."""
+        process = self.spawn(name, module, *arguments)
+        process.ready = _read_ready(process)
+        return process
+
+    def spawn(self, name: str, module: str, *arguments: str) -> Process:
+        """Start ``python -m module`` and wait for nothing."""
+        error_path = self._folder / f"{name}-{len(self._started)}.err"
+        with error_path.open("wb") as error_file:
+            popen = subprocess.Popen(
+                [sys.executable, "-m", module, *arguments],
+                stdin=subprocess.DEVNULL,
+                stdout=subprocess.PIPE,
+                stderr=error_file,
+                env={**os.environ, "PYTHONPATH": str(SOURCE)},
+            )
+        process = Process(name, popen, error_path)
+        self._started.append(process)
+        return process
+
+    def write_yaml(self, name: str, document: object) -> Path:
+        """Write a YAML file and return its path."""
+        path = self._folder / name
+        path.parent.mkdir(parents=True, exist_ok=True)
+        path.write_text(yaml.safe_dump(document, sort_keys=False), encoding="utf-8")
+        return path
+
+    def start_platform(self, **options: float) -> Process:
+        """Start the platform stand-in; `max_writes_per_s` and `max_reads_per_s` cap it."""
+        arguments = ["--port", "0"]
+        for option, value in options.items():
+            arguments += ["--" + option.replace("_", "-"), str(value)]
+        return self.start("platform", "standins.platform", *arguments)
+
+    def start_target(self, name: str, settings: dict[str, Any]) -> Process:
+        """Start a target stand-in with settings as in `standins.target_settings`."""
+        path = self.write_yaml(f"target-{name}.yaml", settings)
+        return self.start(name, "standins.target", "--config", str(path))
+
+    def start_proxy(self, upstream_port: int) -> Process:
+        """Start a fault-injecting proxy in front of a port."""
+        return self.start("proxy", "standins.faults", "--upstream-port", str(upstream_port))
+
+    def start_node(self, name: str, settings: dict[str, Any]) -> Process:
+        """Start a node with settings as in `pollenbay.settings`."""
+        path = self.write_yaml(f"node-{name}.yaml", settings)
+        return self.start(name, "pollenbay.daemon", "--settings", str(path))
+
+
+def _read_ready(process: Process) -> dict[str, Any]:
+    deadline = time.monotonic() + READY_WITHIN_S
+    line = b""
+    descriptor = process.popen.stdout.fileno()
+    while not line.endswith(b"\n"):
+        left_s = deadline - time.monotonic()
+        if left_s <= 0 or not select([descriptor], [], [], left_s)[0]:
+            raise HarnessError(f"{process.name} is not ready: {process.errors()}")
+        data = os.read(descriptor, 1)
+        if not data:
+            raise HarnessError(f"{process.name} ended early: {process.errors()}")
+        line += data
+    return json.loads(line)
+
+
+def send(
+    port: int,
+    path: str,
+    method: str = "GET",
+    body: bytes | str | None = None,
+    headers: dict[str, str] | None = None,
+    within_s: float = ANSWER_WITHIN_S,
+) -> Answer:
+    """Send one request on a new connection and return the whole answer.
+
+    :param within_s: longest wait for any part of the answer.
+    :raises OSError: if the connection fails or no answer comes in time.
+    :raises http.client.HTTPException: if the answer is broken or stops short.
+    """
+    connection = HTTPConnection(ADDRESS, port, timeout=within_s)
+    try:
+        connection.request(method, path, body, headers or {})
+        return read_answer(connection.getresponse())
+    finally:
+        connection.close()
+
+
+def read_answer(response: HTTPResponse) -> Answer:
+    """Return the whole answer of a standard library response."""
+    headers = {name.lower(): value for name, value in response.getheaders()}
+    return Answer(response.status, headers, response.read())
+
+
+@contextmanager
+def kept_connection(port: int, within_s: float = ANSWER_WITHIN_S):
+    """Yield a connection that can carry several requests."""
+    connection = HTTPConnection(ADDRESS, port, timeout=within_s)
+    try:
+        yield connection
+    finally:
+        connection.close()
+
+
+def control(process: Process, **faults: object) -> Any:
+    """Set the faults of a stand-in; for the platform and the proxy, `mode` names one."""
+    answer = send(process.control_port, "/control", "POST", json.dumps(faults))
+    if answer.status != 200:
+        raise HarnessError(f"{process.name}: {answer.body!r}")
+    return answer.json()
+
+
+def counts(process: Process) -> dict[str, Any]:
+    """Return what the platform or the proxy has counted."""
+    return send(process.control_port, "/control").json()
+
+
+def run_log(target: Process) -> dict[str, Any]:
+    """Return `runs` and `counts` of a target."""
+    return send(target.control_port, "/control/runs").json()
+
+
+def runs_of_key(targets: list[Process], key: str) -> int:
+    """Return how often targets ran a call with an idempotency key."""
+    runs = [run for target in targets for run in run_log(target)["runs"]]
+    return sum(run["idempotency_key"] == key for run in runs)
+
+
+def runs_of_marker(targets: list[Process], marker: str) -> int:
+    """Return how often targets ran a call with a marker."""
+    runs = [run for target in targets for run in run_log(target)["runs"]]
+    return sum(run["marker"] == marker for run in runs)
+
+
+def wait_until(
+    condition: Callable[[], T], within_s: float = ANSWER_WITHIN_S, what: str = "a condition"
+) -> T:
+    """Wait until a condition returns something true, and return that.
+
+    Connections that fail while it is asked count as not yet true.
+    """
+    deadline = time.monotonic() + within_s
+    while True:
+        try:
+            value = condition()
+        except (OSError, HTTPException):
+            value = None
+        if value:
+            return value
+        if time.monotonic() > deadline:
+            raise HarnessError(f"waited {within_s} s in vain for {what}")
+        time.sleep(POLL_S)
+
+
+def free_port() -> int:
+    """Return a port that was free a moment ago; prefer port 0 wherever a process reports it."""
+    with socket() as sock:
+        sock.bind((ADDRESS, 0))
+        return sock.getsockname()[1]
