--- /dev/null
+++ b/bench/weigh.py
@@ -0,0 +1,67 @@
+"""Goodput of the ways weighed for the order and the length of the queue.
+
+``PYTHONPATH=src:bench python bench/weigh.py`` prints the tables of docs/OVERLOAD.md.
+"""
+
+from contextlib import ExitStack
+from dataclasses import dataclass, field
+from functools import partial
+from unittest.mock import patch
+
+from click import command, echo
+from decisions import SEED, WARM_UP_S, constant, goodput
+from loop import GateControl, Loop, Scenario
+
+DURATION_S = 25
+NEVER_S = 1e9
+DEADLINES_S = ((0.1, 0.3), (0.1, 1.0))
+
+
+@dataclass(frozen=True, slots=True)
+class Variant:
+    """Other values of constants of the product."""
+
+    name: str
+    values: dict[str, float] = field(default_factory=dict)
+
+
+ORDERS = [
+    Variant("least time left", {"pollenbay.waiting.NEWEST_FIRST_AFTER_S": NEVER_S}),
+    Variant("newest first", {"pollenbay.waiting.NEWEST_FIRST_AFTER_S": -1.0}),
+    Variant("newest first after 0.5 s"),
+]
+LENGTHS = [Variant(f"{n} per slot", {"pollenbay.gate.QUEUE_PER_LIMIT": n}) for n in (0.25, 1, 4)]
+
+
+def measure(variant: Variant, load: float, deadlines_s: tuple[float, float]) -> float:
+    """Return the goodput per second of a variant."""
+    with ExitStack() as stack:
+        for name, value in variant.values.items():
+            stack.enter_context(patch(name, value))
+        scenario = Scenario(
+            DURATION_S, partial(constant, load), attempts=5, deadlines_s=deadlines_s
+        )
+        return goodput(Loop(scenario, GateControl(), SEED).run(), WARM_UP_S, DURATION_S)
+
+
+def print_variants(title: str, variants: list[Variant]) -> None:
+    """Print the goodput of each variant over load and deadlines."""
+    echo(f"\n{title}: goodput/s by deadlines (s) and load")
+    for variant in variants:
+        figures = [
+            f"{deadlines_s} x{load}: {measure(variant, load, deadlines_s):4.0f}"
+            for deadlines_s in DEADLINES_S
+            for load in (0.95, 1.2, 2.0)
+        ]
+        echo(f"{variant.name:25} " + "  ".join(figures))
+
+
+@command()
+def main() -> None:
+    """Print all tables."""
+    print_variants("order", ORDERS)
+    print_variants("length", LENGTHS)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/pollenbay/commands/admission.py
+++ b/src/pollenbay/commands/admission.py
@@ -4,7 +4,7 @@
 """
 
 from pollenbay.gate import Arrival, Gate, Refusal, Ticket, Waiter
-from pollenbay.queries.admission import can_meet_deadline, has_slot
+from pollenbay.queries.admission import can_meet_deadline, has_slot, needed_s
 from pollenbay.states import Reason
 from pollenbay.waiting import level_of
 
@@ -106,7 +106,7 @@
     rank = arrival.call_class.rank
     gate.enter()
     gate.shedding.grant(rank)
-    if arrival.deadline - now < gate.limit.means_s[rank]:
+    if arrival.deadline - now < needed_s(gate, arrival):
         gate.limit.touch(rank, now)
     return Ticket(arrival, now)
 
--- a/src/pollenbay/shedding.py
+++ b/src/pollenbay/shedding.py
@@ -79,8 +79,8 @@
 
     def _choose_rank(self) -> None:
         rank = self._admitted_rank
-        arrivals = sum(self._arrivals[rank:])
-        granted = sum(self._granted[rank:])
+        arrivals = self._arrivals[rank]
+        granted = self._granted[rank]
         if rank and arrivals >= CLOSE_MIN_ARRIVALS and granted < CLOSE_BELOW_PART * arrivals:
             self._admitted_rank -= 1
             self._spare_periods = 0
