--- a/src/pollenbay/limit.py
+++ b/src/pollenbay/limit.py
@@ -27,6 +27,8 @@
 SURGE_RATIO = 1.6
 #: A latency below this part of the reference shows that the target itself has become faster.
 FASTER_RATIO = 0.6
+#: A trial begins only after a window whose latency came this near to the reference.
+STEADY_RATIOS = (0.75, 1.33)
 WINDOW_MIN_S = 0.2
 WINDOW_MAX_S = 5.0
 WINDOW_LATENCIES = 2.0
@@ -216,7 +218,8 @@
 
     def _end_hold(self, ratio: float, mean_s: float, now: float) -> None:
         self._learn_references(1.0 if ratio < FASTER_RATIO else REFERENCE_WEIGHT)
-        if now < self._next_trial_at:
+        steady = STEADY_RATIOS[0] <= ratio <= STEADY_RATIOS[1]
+        if now < self._next_trial_at or not steady:
             self._open_window(Phase.HOLD, now)
         elif self._next_phase is Phase.LESS:
             self._try(Phase.LESS, LESS_FACTOR, mean_s, now)
