--- /dev/null
+++ b/bench/cost.py
@@ -0,0 +1,189 @@
+"""Processor time of one decision, in microseconds.
+
+``PYTHONPATH=src:bench python bench/cost.py`` prints p50 and p99 of each decision.
+"""
+
+from collections.abc import Callable
+from random import Random
+from time import perf_counter_ns
+
+from click import command, echo, option
+
+from pollenbay.account import make_account
+from pollenbay.budget import make_retry_budget
+from pollenbay.commands.admission import admit, release
+from pollenbay.commands.retry import give_back, hand_out, note_first, take_retry
+from pollenbay.commands.routing import begin_attempt, end_attempt, pick
+from pollenbay.gate import Arrival, Ticket, Waiter, make_gate
+from pollenbay.ids import (
+    CallerId,
+    CallName,
+    HostId,
+    Incarnation,
+    InstanceId,
+    RegionId,
+    ServiceName,
+    ZoneId,
+)
+from pollenbay.queries.pressure import refuse_at_entry
+from pollenbay.rule import CallRule, RuleSet, ServiceRule
+from pollenbay.rulebook import Rulebook, make_rulebook
+from pollenbay.score import AttemptResult, make_scores
+from pollenbay.states import CallClass, MemberState
+from pollenbay.view import Endpoints, Member, Place, View, make_view
+
+SERVICE = ServiceName("stock")
+ORIGIN = Place(HostId("origin"), ZoneId("zone-0"), RegionId("region-0"))
+ZONES = 7
+CHAIN_DEPTH = 13
+SLOTS = 20
+CALLERS = 850
+STEP_S = 0.0001
+
+
+def make_member(service: ServiceName, index: int, admitted_rank: int = 2) -> Member:
+    """Return a serving member in one of the zones."""
+    zone = index % ZONES
+    place = Place(HostId(f"host-{index}"), ZoneId(f"zone-{zone}"), RegionId(f"region-{zone % 3}"))
+    member = Member(
+        InstanceId(f"{service}-{index}"),
+        Incarnation(1),
+        service,
+        place,
+        Endpoints("127.0.0.1", 1, 2),
+        MemberState.SERVING,
+        heard_at=0.0,
+        first_seen_at=-100.0,
+    )
+    member.load.admitted_rank = admitted_rank
+    return member
+
+
+def measure(name: str, rounds: int, decide: Callable[[int], None]) -> None:
+    """Print the cost of a decision; the first tenth of the rounds warms up."""
+    costs_ns = []
+    for index in range(rounds):
+        started_ns = perf_counter_ns()
+        decide(index)
+        costs_ns.append(perf_counter_ns() - started_ns)
+    costs_ns = sorted(costs_ns[rounds // 10 :])
+    p50, p99 = (costs_ns[int(len(costs_ns) * part)] / 1000 for part in (0.5, 0.99))
+    echo(f"{name:45} p50 {p50:7.2f} us  p99 {p99:7.2f} us")
+
+
+def measure_pick(targets: int, rounds: int) -> None:
+    """Measure one routing decision with so many targets in view."""
+    view, scores, rng = make_view(), make_scores(), Random(1)
+    for index in range(targets):
+        view.put(make_member(SERVICE, index))
+
+    def decide(index: int) -> None:
+        now = index * STEP_S
+        member = pick(view, scores, SERVICE, ORIGIN, frozenset(), now, rng)
+        assert member is not None
+        begin_attempt(scores, member, now)
+        end_attempt(scores, member, 0.01, AttemptResult.ANSWERED, now)
+
+    measure(f"pick, begin and end, {targets} targets", rounds, decide)
+
+
+def measure_gate(name: str, held: int, rounds: int) -> None:
+    """Measure one arrival and one release while so many calls are held or queued."""
+    gate = make_gate(SLOTS)
+    tickets: list[Ticket] = []
+    classes = list(CallClass)
+
+    def note(decision: object) -> None:
+        if isinstance(decision, Ticket):
+            tickets.append(decision)
+
+    def arrive(index: int, now: float) -> None:
+        caller = CallerId(f"caller-{index % CALLERS}")
+        note(admit(gate, Arrival(classes[index % 3], caller, now + 1.0, now), now))
+
+    def settle(now: float) -> None:
+        ticket = tickets.pop(0)
+        for waiter in release(gate, ticket, now - ticket.admitted_at, True, now):
+            note(waiter.decision)
+
+    def decide(index: int) -> None:
+        now = index * STEP_S
+        arrive(index, now)
+        if len(tickets) > held:
+            settle(now)
+
+    measure(name, rounds, decide)
+
+
+def measure_queue(rounds: int) -> None:
+    """Measure one arrival at a gate that is full, with its queue."""
+    gate = make_gate(SLOTS)
+
+    def decide(index: int) -> None:
+        now = index * STEP_S
+        call_class = list(CallClass)[2 - index % 3]
+        arrival = Arrival(call_class, CallerId(f"caller-{index}"), now + 60.0, now)
+        assert not isinstance(admit(gate, arrival, now), Waiter) or len(gate.line) <= 4 * SLOTS
+
+    measure("admit, all slots taken for good", rounds, decide)
+
+
+def make_chain(rulebook: Rulebook, view: View, targets: int) -> None:
+    """Fill in a chain of services of which the last one serves no sheddable call."""
+    services = []
+    for depth in range(CHAIN_DEPTH):
+        name = ServiceName(f"service-{depth}")
+        below = (f"service-{depth + 1}.call",) if depth + 1 < CHAIN_DEPTH else ()
+        rule = CallRule(
+            name=CallName("call"), call_class=CallClass.SHEDDABLE, wait_ms=1000, calls=below
+        )
+        services.append(ServiceRule(service=name, calls=(rule,)))
+        rank = 1 if depth + 1 == CHAIN_DEPTH else 2
+        for index in range(targets):
+            view.put(make_member(name, index, rank))
+    rules = RuleSet(version=1, digest="", author="", published_at=0.0, services=tuple(services))
+    rulebook.replace(rules, 0.0)
+
+
+def measure_entry(targets: int, rounds: int) -> None:
+    """Measure one decision at the entry of a deep chain."""
+    rulebook, view = make_rulebook(), make_view()
+    make_chain(rulebook, view, targets)
+
+    def decide(index: int) -> None:
+        refused = refuse_at_entry(rulebook, view, ServiceName("service-0"), CallName("call"), 1.0)
+        assert refused is not None
+
+    measure(f"refuse at entry, {CHAIN_DEPTH} deep, {targets} targets each", rounds, decide)
+
+
+def measure_retry(rounds: int) -> None:
+    """Measure the decisions on retries of one call with one sub-call."""
+    budget = make_retry_budget()
+
+    def decide(index: int) -> None:
+        now = index * STEP_S
+        account = make_account(2, now + 1.0)
+        note_first(budget, CallClass.NORMAL, now)
+        give_back(account, hand_out(account))
+        take_retry(account, budget, CallClass.NORMAL, now)
+
+    measure("account, hand out, give back, take retry", rounds, decide)
+
+
+@command()
+@option("--rounds", default=100_000, help="Decisions of each kind.")
+def main(rounds: int) -> None:
+    """Print the cost of each decision."""
+    for targets in (4, 16, 64, 256):
+        measure_pick(targets, rounds)
+    measure_gate("admit and release, slots free", SLOTS // 2, rounds)
+    measure_gate("admit and release, queue in use", SLOTS - 1, rounds)
+    measure_queue(rounds)
+    for targets in (4, 64):
+        measure_entry(targets, rounds // 10)
+    measure_retry(rounds)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/pollenbay/commands/routing.py
+++ b/src/pollenbay/commands/routing.py
@@ -15,8 +15,13 @@
 EJECT_AFTER_FAILURES = 5
 #: An instance whose smoothed success falls below this is ejected too.
 EJECT_BELOW_SUCCESS = 0.3
+#: Answered attempts, one at a time, that end an ejection.
+PROBES_TO_RETURN = 3
+SUCCESS_ON_RETURN = 0.6
+#: Above this the next ejection is a short one again.
+TRUSTED_SUCCESS = 0.95
 EJECTION_MIN_S = 1.0
-EJECTION_MAX_S = 30.0
+EJECTION_MAX_S = 8.0
 #: At most one in so many of the members that a node calls is ejected at a time.
 MEMBERS_PER_EJECTION = 3
 FAULTS = frozenset({AttemptResult.FAILED, AttemptResult.TIMED_OUT})
@@ -30,14 +35,17 @@
     excluded: frozenset[InstanceId],
     now: float,
     rng: Random,
+    may_probe: bool = True,
 ) -> Member | None:
     """Return the target for an attempt, or None if no live one is known.
 
     :param origin: where the node is that asks.
     :param excluded: instances that this call has tried.
+    :param may_probe: whether the call may be the one that tries an ejected target again; not for
+        a non-idempotent call, which could end as unknown.
     """
     candidates = _fresh_candidates(view, scores, service, origin, now)
-    return choose(view, scores, candidates, excluded, now, rng)
+    return choose(view, scores, candidates, excluded, now, rng, may_probe)
 
 
 def begin_attempt(scores: Scores, member: Member, now: float) -> None:
@@ -58,11 +66,14 @@
     if score is None or score.incarnation != member.incarnation:
         return
     score.outstanding = max(score.outstanding - 1, 0)
+    if result is AttemptResult.CANCELLED:
+        return
+    score.measured_at = now
     if result is AttemptResult.ANSWERED:
-        _note_answer(score, latency_s, now)
+        _note_answer(score, latency_s)
     elif result in FAULTS:
         _note_fault(scores, member, score, latency_s, now)
-    elif result is AttemptResult.REFUSED:
+    else:
         score.refused += REFUSED_WEIGHT * (1.0 - score.refused)
     _settle_probe(score, result, now)
 
@@ -95,13 +106,15 @@
     return score
 
 
-def _note_answer(score: Score, latency_s: float, now: float) -> None:
-    weight = LATENCY_WEIGHT if score.latency_s else 1.0
+def _note_answer(score: Score, latency_s: float) -> None:
+    known = score.latency_s > 0.0 and not score.ejected_until
+    weight = LATENCY_WEIGHT if known else 1.0
     score.latency_s += weight * (latency_s - score.latency_s)
-    score.measured_at = now
     score.success += SUCCESS_WEIGHT * (1.0 - score.success)
     score.refused -= REFUSED_WEIGHT * score.refused
     score.failures = 0
+    if score.success > TRUSTED_SUCCESS:
+        score.ejections = 0
 
 
 def _note_fault(scores: Scores, member: Member, score: Score, latency_s: float, now: float) -> None:
@@ -109,7 +122,6 @@
     score.success -= SUCCESS_WEIGHT * score.success
     if latency_s > score.latency_s:
         score.latency_s += LATENCY_WEIGHT * (latency_s - score.latency_s)
-        score.measured_at = now
     if now < score.ejected_until:
         return
     if score.failures >= EJECT_AFTER_FAILURES or score.success < EJECT_BELOW_SUCCESS:
@@ -119,10 +131,10 @@
 def _eject(scores: Scores, member: Member, score: Score, now: float) -> None:
     if not score.ejected_until and not _may_eject(scores, member, now):
         return
-    period_s = min(EJECTION_MIN_S * 2**score.ejections, EJECTION_MAX_S)
+    period_s = min(EJECTION_MIN_S * 2.0 ** min(score.ejections, 8), EJECTION_MAX_S)
     score.ejections += 1
     score.ejected_until = now + period_s
-    score.probing = True
+    score.probes = 0
 
 
 def _may_eject(scores: Scores, member: Member, now: float) -> bool:
@@ -143,9 +155,10 @@
 
 
 def _settle_probe(score: Score, result: AttemptResult, now: float) -> None:
-    if not score.probing or now < score.ejected_until or result is not AttemptResult.ANSWERED:
+    if result is not AttemptResult.ANSWERED or not 0.0 < score.ejected_until <= now:
+        return
+    score.probes += 1
+    if score.probes < PROBES_TO_RETURN:
         return
-    score.probing = False
     score.ejected_until = 0.0
-    score.ejections = 0
-    score.success = max(score.success, 0.5)
+    score.success = max(score.success, SUCCESS_ON_RETURN)
--- a/src/pollenbay/queries/pressure.py
+++ b/src/pollenbay/queries/pressure.py
@@ -1,6 +1,7 @@
 """Whether an entry call would be refused deeper down, so that no work is begun for it."""
 
 from collections.abc import Iterator
+from functools import lru_cache
 
 from pollenbay.gate import Refusal
 from pollenbay.ids import CallName, ServiceName
@@ -11,6 +12,8 @@
 #: Load reports older than this say nothing.
 REPORT_VALID_S = 3.0
 RETRY_AFTER_S = 1.0
+#: Names of calls that are kept taken apart.
+KNOWN_NAMES = 4096
 
 
 def refuse_at_entry(
@@ -51,6 +54,7 @@
                 yield key[0]
 
 
+@lru_cache(maxsize=KNOWN_NAMES)
 def _split(name: str) -> tuple[ServiceName, CallName]:
     service, _, call = name.partition(".")
     return ServiceName(service), CallName(call)
--- a/src/pollenbay/queries/routing.py
+++ b/src/pollenbay/queries/routing.py
@@ -9,8 +9,8 @@
 
 SLOW_START_S = 10.0
 SLOW_START_PART = 0.1
-#: A latency that is not measured again loses half of its weight in this time.
-LATENCY_HALF_LIFE_S = 3.0
+#: What is not measured again loses half of its weight in this time, so that it is tried again.
+HALF_LIFE_S = 3.0
 UNKNOWN_LATENCY_S = 0.001
 #: Success and acceptance count no less than this in the cost.
 MIN_PART = 0.1
@@ -26,13 +26,17 @@
     excluded: frozenset[InstanceId],
     now: float,
     rng: Random,
+    may_probe: bool = True,
 ) -> Member | None:
     """Return the target for an attempt, or None if no live one is known.
 
+    A target whose ejection is over is taken as soon as it is met, one attempt at a time.
+
     :param excluded: instances that this call has tried.
+    :param may_probe: whether this call may be such an attempt.
     """
-    first = _sample(view, scores, candidates.near, excluded, now, rng, None)
-    second = _sample(view, scores, candidates.subset, excluded, now, rng, first)
+    first = _sample(view, scores, candidates.near, excluded, now, rng, None, may_probe)
+    second = _sample(view, scores, candidates.subset, excluded, now, rng, first, may_probe)
     if first is not None and second is not None:
         return _better(scores, first, second, now)
     return first or second or _fallback(view, scores, candidates, excluded, now)
@@ -42,17 +46,24 @@
     """Return the expected cost of one more attempt, in seconds of weighted latency."""
     if score is None or score.incarnation != member.incarnation:
         return UNKNOWN_LATENCY_S * _report_factor(member, now) / _warmth(member, now)
-    latency_s = _latency_now_s(score, now)
-    parts = max(score.success, MIN_PART) * max(1.0 - score.refused, MIN_PART)
+    age = 0.5 ** ((now - score.measured_at) / HALF_LIFE_S)
+    latency_s = score.latency_s * age if score.latency_s else UNKNOWN_LATENCY_S
+    parts = max(1.0 - (1.0 - score.success) * age, MIN_PART)
+    parts *= max(1.0 - score.refused * age, MIN_PART)
     own_cost = (score.outstanding + 1) * latency_s / (parts * _warmth(member, now))
     return own_cost * _report_factor(member, now)
 
 
-def available(score: Score | None, now: float) -> bool:
-    """Tell whether a target is not ejected; after an ejection one probe at a time passes."""
+def available(score: Score | None, now: float, may_probe: bool = True) -> bool:
+    """Tell whether a target is not ejected, or is due to be tried and not being tried."""
     if score is None or not score.ejected_until:
         return True
-    return now >= score.ejected_until and not (score.probing and score.outstanding)
+    return may_probe and now >= score.ejected_until and not score.outstanding
+
+
+def due_for_probe(score: Score | None, now: float) -> bool:
+    """Tell whether the ejection of a target is over and it has still to prove itself."""
+    return score is not None and 0.0 < score.ejected_until <= now
 
 
 def _sample(
@@ -63,6 +74,7 @@
     now: float,
     rng: Random,
     other: Member | None,
+    may_probe: bool,
 ) -> Member | None:
     size = len(instances)
     if not size:
@@ -75,15 +87,20 @@
         member = view.members.get(instance)
         if member is None or member.state is not MemberState.SERVING:
             continue
-        if available(scores.scores.get(instance), now):
+        if available(scores.scores.get(instance), now, may_probe):
             return member
     return None
 
 
 def _better(scores: Scores, first: Member, second: Member, now: float) -> Member:
-    first_cost = cost(first, scores.scores.get(first.instance), now)
-    second_cost = cost(second, scores.scores.get(second.instance), now)
-    return first if first_cost <= second_cost else second
+    first_score = scores.scores.get(first.instance)
+    second_score = scores.scores.get(second.instance)
+    if due_for_probe(second_score, now):
+        return second
+    if due_for_probe(first_score, now):
+        return first
+    first_cost = cost(first, first_score, now)
+    return first if first_cost <= cost(second, second_score, now) else second
 
 
 def _fallback(
@@ -111,13 +128,6 @@
     return member.state is MemberState.SERVING or member.state is MemberState.SUSPECT
 
 
-def _latency_now_s(score: Score, now: float) -> float:
-    if not score.latency_s:
-        return UNKNOWN_LATENCY_S
-    idle_s = now - score.measured_at
-    return score.latency_s / (1.0 + idle_s / LATENCY_HALF_LIFE_S)
-
-
 def _warmth(member: Member, now: float) -> float:
     age_s = now - member.first_seen_at
     if age_s >= SLOW_START_S:
--- a/src/pollenbay/score.py
+++ b/src/pollenbay/score.py
@@ -26,13 +26,13 @@
 
     :param outstanding: attempts under way.
     :param latency_s: smoothed seconds of answered attempts; 0 if not known.
-    :param measured_at: monotonic seconds of the last answered attempt.
+    :param measured_at: monotonic seconds of the end of the last attempt that told something.
     :param success: smoothed part of the attempts that did not fail, from 0 to 1.
     :param refused: smoothed part of the attempts that were refused, from 0 to 1.
     :param failures: failures in a row.
-    :param ejections: ejections in a row, without a success between them.
+    :param ejections: ejections since it was last trusted.
     :param ejected_until: monotonic seconds; 0 if not ejected.
-    :param probing: whether it has to answer one attempt before it is trusted again.
+    :param probes: attempts answered since the ejection was over, which end it.
     """
 
     incarnation: Incarnation
@@ -44,7 +44,7 @@
     failures: int = 0
     ejections: int = 0
     ejected_until: float = 0.0
-    probing: bool = False
+    probes: int = 0
 
 
 @dataclass(slots=True)
