--- a/src/pollenbay/callers.py
+++ b/src/pollenbay/callers.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable
 from enum import Enum
 
-from curio import TaskTimeout, current_task, schedule, timeout_after
+from curio import TaskTimeout, current_task, sleep, timeout_after
 from curio.io import Socket
 from msgspec import MsgspecError
 from msgspec.json import decode
@@ -88,7 +88,7 @@
             return
         served += 1
         if served % REQUESTS_PER_TURN == 0:
-            await schedule()
+            await sleep(0)
 
 
 async def _read_request(node: Node, server: HttpServer, source: Source) -> HttpRequest | None:
--- a/src/pollenbay/commands/calling.py
+++ b/src/pollenbay/commands/calling.py
@@ -1,4 +1,4 @@
-"""Placing a call: plan by the rules, attempts at targets, retries within the request's allowance."""
+"""Placing a call: attempts at targets, and retries within the allowance of the request."""
 
 from curio import Task, TaskTimeout, sleep, spawn, timeout_after
 
--- a/src/pollenbay/commands/gossiping.py
+++ b/src/pollenbay/commands/gossiping.py
@@ -48,6 +48,11 @@
     _announce(membership, MemberState.SERVING)
 
 
+def announce_absent(membership: Membership) -> None:
+    """Tell all nodes that the target of this one takes no calls for now."""
+    _announce(membership, MemberState.STARTING)
+
+
 def announce_leaving(membership: Membership) -> None:
     """Tell all nodes that this one takes no new calls; final for its incarnation."""
     _announce(membership, MemberState.LEAVING)
--- a/src/pollenbay/commands/life.py
+++ b/src/pollenbay/commands/life.py
@@ -1,12 +1,13 @@
 """Life of a node: starting to serve, and a planned stop that cuts nothing in flight."""
 
-from collections.abc import Callable
 from dataclasses import dataclass
 from logging import getLogger
 
 from curio import TaskTimeout, sleep, timeout_after
 
+from pollenbay.commands.claim import drain_ledger
 from pollenbay.commands.dispatch import execute
+from pollenbay.commands.gossiping import announce_leaving, withdraw
 from pollenbay.node import Node
 from pollenbay.states import NodeState
 
@@ -14,6 +15,8 @@
 DRAIN_POLL_S = 0.05
 #: Time for the last answers to reach their callers' hosts before the process ends.
 LINGER_S = 0.2
+#: Longest wait for answers of non-idempotent calls to be written to the table.
+RECORD_WAIT_S = 5.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,16 +46,14 @@
     LOG.info("node state", extra={"before": before.value, "after": state.value})
 
 
-async def drain(node: Node, announce_leaving: Callable[[], None]) -> bool:
+async def drain(node: Node) -> bool:
     """Stop taking work, wait for what is in flight and tell whether all of it has ended.
 
     Work that still arrives while the announcement spreads is served; after `leave_s` it is
-    refused as not run.
-
-    :param announce_leaving: tells the other nodes.
+    refused as not run. Answers of claimed calls are written before the process ends.
     """
     change_state(node, NodeState.DRAINING)
-    announce_leaving()
+    announce_leaving(node.membership)
     await sleep(node.settings.leave_s)
     node.refusing = True
     try:
@@ -60,6 +61,8 @@
         finished = True
     except TaskTimeout:
         finished = False
+    finished = await drain_ledger(node.ledger, RECORD_WAIT_S) == 0 and finished
+    await withdraw(node.membership)
     await sleep(LINGER_S)
     change_state(node, NodeState.STOPPED)
     return finished
--- a/src/pollenbay/commands/serving.py
+++ b/src/pollenbay/commands/serving.py
@@ -1,5 +1,6 @@
 """Serving a call on the target beside this node: admission, claim, sending, outcome."""
 
+from dataclasses import replace
 from functools import singledispatch
 
 from curio import TaskTimeout, timeout_after
@@ -8,7 +9,7 @@
 from pollenbay.call import Call, Passage
 from pollenbay.claim import Claim, ClaimRequest, fingerprint_of
 from pollenbay.commands.admission import abandon, admit, release
-from pollenbay.commands.claim import record_answer, release_claim, take_claim
+from pollenbay.commands.claim import abandon_claim, record_answer, release_claim, take_claim
 from pollenbay.contexts import Context
 from pollenbay.gate import Arrival, Refusal, Ticket, Waiter
 from pollenbay.http1 import HttpClient
@@ -110,9 +111,12 @@
     passage.cancellable = False
     claim = await take_claim(node.ledger, _claim_request(node, call))
     if not isinstance(claim, Claim):
-        return claim
-    outcome = await _send(node, call, rule, allowance, passage)
-    await settle_claim(outcome, node.ledger, claim)
+        return replace(claim, allowance_left=allowance)
+    outcome: Outcome = Unknown(Reason.CANCELLED)
+    try:
+        outcome = await _send(node, call, rule, allowance, passage)
+    finally:
+        await settle_claim(outcome, node.ledger, claim)
     return outcome
 
 
@@ -122,7 +126,7 @@
         call=call.name,
         caller=call.caller,
         key=call.idempotency_key,
-        fingerprint=fingerprint_of(call.service, call.name, call.path, call.body),
+        fingerprint=fingerprint_of(call.service, call.name, call.method, call.path, call.body),
         deadline_epoch_s=node.timer.epoch() + call.deadline - node.timer.now(),
     )
 
@@ -130,6 +134,7 @@
 @singledispatch
 async def settle_claim(outcome: Outcome, ledger: Ledger, claim: Claim) -> None:
     """Write down how a claimed call ended; an unknown outcome leaves the claim as it is."""
+    abandon_claim(ledger, claim)
 
 
 @settle_claim.register
--- a/src/pollenbay/daemon.py
+++ b/src/pollenbay/daemon.py
@@ -1,36 +1,38 @@
 """The daemon `pollenbayd`: one node beside one target."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable
 from dataclasses import dataclass
+from functools import partial
 from logging import getLogger
 from pathlib import Path
 from signal import SIGINT, SIGTERM
-from sys import exit, stderr
+from sys import exit
 
 import click
-from curio import SignalEvent, TaskGroup, run, spawn
+from curio import Event, TaskGroup, run
 from curio.io import Socket
 from msgspec import Struct
 from msgspec.json import encode
+from pollenbay.admin import serve_admin
 from result import Err
 
-from pollenbay.admin import serve_admin
 from pollenbay.callers import make_callers, serve_target
-from pollenbay.commands.life import change_state, drain
+from pollenbay.commands.adoption import adopt
+from pollenbay.commands.gossiping import run_membership
+from pollenbay.commands.life import drain
 from pollenbay.commands.upkeep import keep_up
 from pollenbay.linking import serve_link
-from pollenbay.membership import Membership, make_membership
+from pollenbay.logs import start_logs
 from pollenbay.node import Node, make_node
+from pollenbay.queries.rules import read_current
 from pollenbay.settings import Settings, load_settings
-from pollenbay.states import NodeState
+from pollenbay.signals import StopSignals, catch_signals
 from pollenbay.stream import accept_streams, listen, port_of
 
 LOG = getLogger("pollenbay.daemon")
+EXIT_DONE = 0
 EXIT_CUT_SHORT = 1
 EXIT_BAD_SETTINGS = 2
-STATUS_LINE_END = "\n"
-
-Serve = Callable[[Socket], Awaitable[None]]
 
 
 class Ready(Struct, frozen=True):
@@ -81,13 +83,13 @@
 async def serve_node(settings: Settings) -> int:
     """Run a node until it is stopped and return the exit code."""
     start_logs(settings.log_level, settings.instance, settings.host)
-    node = make_node(settings)
     listeners = _listen(settings)
-    membership = make_membership(node, port_of(listeners.link))
+    node = make_node(settings, port_of(listeners.link), adopt, read_current)
     async with TaskGroup(wait=any) as group:
-        await _spawn_parts(group, node, listeners, membership)
-        _print_ready(listeners, membership)
-        await group.spawn(_stop_when_asked, node, membership)
+        for part in _parts(node, listeners):
+            await group.spawn(part)
+        _print_ready(node, listeners)
+        await group.spawn(_stop_when_asked, node)
     return group.result
 
 
@@ -99,3 +101,61 @@
         link=listen(address, ports.link),
         admin=listen(address, ports.admin),
     )
+
+
+def _parts(node: Node, listeners: Listeners) -> list[Awaitable[None]]:
+    callers = make_callers()
+    return [
+        node.timer.run(),
+        node.watch.run(node.timer),
+        node.ledger.run(),
+        run_membership(node.membership),
+        keep_up(node),
+        accept_streams(listeners.callers, partial(callers.serve, node)),
+        accept_streams(listeners.outbound, partial(serve_target, node)),
+        accept_streams(listeners.link, partial(serve_link, node)),
+        accept_streams(listeners.admin, partial(serve_admin, node)),
+    ]
+
+
+def _print_ready(node: Node, listeners: Listeners) -> None:
+    ready = Ready(
+        ready=True,
+        callers=port_of(listeners.callers),
+        outbound=port_of(listeners.outbound),
+        link=port_of(listeners.link),
+        gossip=node.membership.gossip_port,
+        admin=port_of(listeners.admin),
+    )
+    click.echo(encode(ready))
+
+
+async def _stop_when_asked(node: Node) -> int:
+    """Wait for a signal or a command to stop, stop as planned, and return the exit code."""
+    with catch_signals(SIGTERM, SIGINT) as asked:
+        await _wait_for_either(asked, node.stopping)
+        async with TaskGroup(wait=any) as group:
+            await group.spawn(_drain, node)
+            await group.spawn(_end_early, node, asked)
+    return group.result
+
+
+async def _wait_for_either(asked: StopSignals, stopping: Event) -> None:
+    async with TaskGroup(wait=any) as group:
+        await group.spawn(asked.wait)
+        await group.spawn(stopping.wait)
+
+
+async def _drain(node: Node) -> int:
+    finished = await drain(node)
+    return EXIT_DONE if finished else EXIT_CUT_SHORT
+
+
+async def _end_early(node: Node, asked: StopSignals) -> int:
+    await asked.wait()
+    LOG.warning("stop without waiting", extra={"in_progress": node.watch.in_progress})
+    return EXIT_CUT_SHORT
+
+
+if __name__ == "__main__":
+    main()
--- a/src/pollenbay/linking.py
+++ b/src/pollenbay/linking.py
@@ -1,6 +1,6 @@
 """Front end for calls that come from other nodes: one task for each connection."""
 
-from curio import current_task, schedule
+from curio import current_task, sleep
 from curio.io import Socket
 
 from pollenbay.call import Passage
@@ -32,7 +32,7 @@
         await link.send(await _serve_call(node, link, call_message))
         served += 1
         if served % CALLS_PER_TURN == 0:
-            await schedule()
+            await sleep(0)
 
 
 def _require_call(message: AnyLinkMessage) -> CallMessage:
--- a/src/pollenbay/node.py
+++ b/src/pollenbay/node.py
@@ -11,6 +11,7 @@
 from pollenbay.ids import Incarnation
 from pollenbay.ledger import Ledger, make_ledger
 from pollenbay.link import LinkPool, make_link_pool
+from pollenbay.membership import Adopt, Membership, ReadRules, make_membership
 from pollenbay.metrics import Metrics, make_metrics
 from pollenbay.rule import DEFAULT_SLOTS
 from pollenbay.rulebook import Rulebook, make_rulebook
@@ -23,21 +24,17 @@
 from pollenbay.view import Place, View, make_view
 from pollenbay.watch import Watch, make_watch
 
-MS_PER_S = 1000
-
 
 @dataclass(slots=True)
 class Node:
     """One node with its parts.
 
-    :param incarnation: this run of the instance.
     :param state: life of the process; `pollenbay.commands.life` changes it.
     :param refusing: whether new work is refused because the node is leaving.
     :param stopping: set when a planned stop was asked for.
     """
 
     settings: Settings
-    incarnation: Incarnation
     place: Place
     timer: Timer
     table: Table
@@ -51,34 +48,48 @@
     ledger: Ledger
     links: LinkPool
     watch: Watch
+    membership: Membership
     metrics: Metrics
     random: Random
     state: NodeState = NodeState.STARTING
     refusing: bool = False
     stopping: Event = field(default_factory=Event)
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """Return the present incarnation of the instance."""
+        return self.membership.incarnation
+
+
+def make_node(settings: Settings, link_port: int, adopt: Adopt, read_rules: ReadRules) -> Node:
+    """Return a node that has not begun to serve.
 
-def make_node(settings: Settings) -> Node:
-    """Return a node that has not begun to serve."""
+    :param link_port: port at which other nodes' calls are taken.
+    :param adopt: puts rules in force.
+    :param read_rules: reads the rules that the table holds.
+    """
     timer = make_timer()
     table = make_table(settings.table.address, settings.table.port, settings.table.timeout_s)
-    incarnation = Incarnation(int(timer.epoch() * MS_PER_S))
+    rulebook, view = make_rulebook(), make_view()
+    membership = make_membership(
+        settings, link_port, view, rulebook, table, timer, adopt, read_rules
+    )
     return Node(
         settings=settings,
-        incarnation=incarnation,
         place=Place(settings.host, settings.zone, settings.region),
         timer=timer,
         table=table,
-        rulebook=make_rulebook(),
-        view=make_view(),
+        rulebook=rulebook,
+        view=view,
         target=make_target(settings.limits.body_bytes),
         gate=make_gate(DEFAULT_SLOTS),
         scores=make_scores(),
         budget=make_retry_budget(),
         contexts=make_contexts(),
-        ledger=make_ledger(table, settings.instance, incarnation, timer),
+        ledger=make_ledger(table, settings.instance, membership.incarnation, timer),
         links=make_link_pool(),
         watch=make_watch(),
+        membership=membership,
         metrics=make_metrics(),
         random=Random(),
     )
--- a/src/pollenbay/translation.py
+++ b/src/pollenbay/translation.py
@@ -34,7 +34,11 @@
     Reason.CALLER_SHARE: 429,
     Reason.DEADLINE: 504,
 }
-STATUSES_UNKNOWN = {Reason.CONNECTION_LOST: 502, Reason.ANSWER_BROKEN: 502}
+STATUSES_UNKNOWN = {
+    Reason.CONNECTION_LOST: 502,
+    Reason.ANSWER_BROKEN: 502,
+    Reason.DUPLICATE: 409,
+}
 
 
 class TranslationError(Exception):
