--- a/src/pollenbay/commands/gossiping.py
+++ b/src/pollenbay/commands/gossiping.py
@@ -2,7 +2,7 @@
 
 from logging import getLogger
 
-from curio import TaskGroup, spawn
+from curio import CancelledError, TaskGroup, spawn
 
 from pollenbay.commands.heartbeat import renew_report
 from pollenbay.commands.joining import run_announcements, run_joining
@@ -123,7 +123,7 @@
     membership.differs_since.pop(instance, None)
     membership.asked.discard(instance)
     await task.wait()
-    if task.exception is not None:
+    if task.exception is not None and not isinstance(task.exception, CancelledError):
         LOG.error("peer task failed", extra={"peer": instance, "error": repr(task.exception)})
 
 
--- a/src/pollenbay/peer.py
+++ b/src/pollenbay/peer.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Awaitable, Callable
 
-from curio import disable_cancellation
+from curio import check_cancellation, disable_cancellation
 from pynng import Context, Rep0, Req0
 from pynng.exceptions import NNGException, Timeout
 
@@ -141,6 +141,7 @@
         try:
             while True:
                 data = await _receive(context)
+                await check_cancellation()
                 if data is not None:
                     await self._serve_one(context, data, respond)
         finally:
