--- a/src/standins/downstream.py
+++ b/src/standins/downstream.py
@@ -9,14 +9,13 @@
 from pollenbay.announcement import ANNOUNCE_PATH, Announcement
 from pollenbay.http1 import HttpError, HttpRequest, HttpResponse, header_value
 from pollenbay.outcome import Headers
+from pollenbay.translation import CONTEXT_HEADER, DEADLINE_HEADER, KEY_HEADER
 from standins.marker import DEFAULT_SIZE_BYTES, MARKER_HEADER, SIZE_HEADER, is_own_answer
 from standins.pool import Pool
 from standins.target_settings import CallSettings
 from standins.target_state import RunCounts
 
-CONTEXT_HEADER = b"pollenbay-context"
-DEADLINE_HEADER = b"pollenbay-deadline-ms"
-KEY_HEADER = b"idempotency-key"
+MIN_LEFT_MS = 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -96,7 +95,7 @@
         if context is not None:
             headers.append((CONTEXT_HEADER, context))
         if cause.deadline is not None:
-            left_ms = max(int((cause.deadline - monotonic()) * 1000), 0)
+            left_ms = max(int((cause.deadline - monotonic()) * 1000), MIN_LEFT_MS)
             headers.append((DEADLINE_HEADER, b"%d" % left_ms))
         key = header_value(cause.headers, KEY_HEADER)
         if key is not None:
--- /dev/null
+++ b/src/standins/queries/load.py
@@ -0,0 +1,166 @@
+"""Reports of the load tool."""
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+
+from pollenbay.states import CallClass
+from standins.load_settings import Phase
+from standins.load_state import (
+    ClassReport,
+    Ending,
+    LoadReport,
+    LoadState,
+    Recovery,
+    Result,
+    Truth,
+)
+from standins.target_state import RunLog
+
+#: Part of the base at which goodput counts as restored, and the seconds that it has to hold.
+RESTORED_PART = 0.95
+HOLD_S = 3
+#: Seconds at the start of the base phase that do not count.
+WARM_UP_S = 1
+MS_PER_S = 1000.0
+
+
+def make_report(state: LoadState, phases: Sequence[Phase]) -> LoadReport:
+    """Return the report of a run that has ended."""
+    classes = []
+    start_s = 0.0
+    for phase in phases:
+        end_s = start_s + phase.seconds
+        arrived = [item for item in state.endings if start_s <= item.arrived_s < end_s]
+        classes += [_class_report(phase, kind, arrived) for kind in CallClass]
+        start_s = end_s
+    whole = [ending for ending in state.endings if ending.result is Result.WHOLE]
+    whole_per_s = _per_second((ending.ended_s for ending in whole), start_s)
+    return LoadReport(classes, _recovery(state.endings, whole_per_s, phases), whole_per_s)
+
+
+def check_truth(state: LoadState, logs: Iterable[RunLog]) -> Truth:
+    """Compare what callers were told with what ran."""
+    runs = Counter(
+        (run.call, run.idempotency_key)
+        for log in logs
+        for run in log.runs
+        if run.idempotency_key is not None
+    )
+    roots = {key.partition("/")[0] for _, key in runs}
+    told_not_run = [item.key for item in state.endings if item.key and item.surely_not_run]
+    return Truth(
+        keys_run=len(runs),
+        doubled=sum(count > 1 for count in runs.values()),
+        run_after_all=sum(key in roots for key in told_not_run),
+    )
+
+
+def format_table(report: LoadReport) -> str:
+    """Return the report as a table for a terminal."""
+    head = ("phase", "class", "sent", "tries", "whole", "whole/s", "not run", "unknown")
+    head += ("failed", "wrong", "not sent", "p50 ms", "p99 ms")
+    rows = [head] + [_cells(item) for item in report.classes if item.sent or item.not_sent]
+    widths = [max(len(row[column]) for row in rows) for column in range(len(head))]
+    lines = [
+        "  ".join(cell.rjust(width) for cell, width in zip(row, widths, strict=True))
+        for row in rows
+    ]
+    lines.append(f"recovery by goodput: {_seconds(report.recovery.goodput_s)}")
+    lines.append(f"recovery by share of whole answers: {_seconds(report.recovery.share_s)}")
+    if report.truth is not None:
+        lines.append(
+            f"keyed calls run: {report.truth.keys_run}, more than once: {report.truth.doubled}, "
+            f"run though told not run: {report.truth.run_after_all}"
+        )
+    return "\n".join(lines)
+
+
+def _class_report(phase: Phase, kind: CallClass, arrived: list[Ending]) -> ClassReport:
+    endings = [ending for ending in arrived if ending.call_class is kind]
+    results = Counter(ending.result for ending in endings)
+    times_ms = sorted(
+        (ending.ended_s - ending.arrived_s) * MS_PER_S
+        for ending in endings
+        if ending.result is Result.WHOLE
+    )
+    return ClassReport(
+        phase=phase.name,
+        call_class=kind,
+        sent=len(endings) - results[Result.NOT_SENT],
+        attempts=sum(len(ending.attempts) for ending in endings),
+        whole=results[Result.WHOLE],
+        goodput_per_s=results[Result.WHOLE] / phase.seconds,
+        not_run=results[Result.NOT_RUN],
+        unknown=results[Result.UNKNOWN],
+        failed=results[Result.FAILED],
+        wrong=results[Result.WRONG],
+        not_sent=results[Result.NOT_SENT],
+        p50_ms=_percentile(times_ms, 0.50),
+        p99_ms=_percentile(times_ms, 0.99),
+    )
+
+
+def _percentile(ordered: list[float], part: float) -> float | None:
+    if not ordered:
+        return None
+    return ordered[min(int(len(ordered) * part), len(ordered) - 1)]
+
+
+def _per_second(times_s: Iterable[float], length_s: float) -> list[int]:
+    counts = [0] * int(length_s)
+    for time_s in times_s:
+        if time_s < len(counts):
+            counts[int(time_s)] += 1
+    return counts
+
+
+def _recovery(endings: list[Ending], whole_per_s: list[int], phases: Sequence[Phase]) -> Recovery:
+    if len(phases) < 3:
+        return Recovery(None, None)
+    base_s = int(phases[0].seconds)
+    surge_end_s = int(phases[0].seconds + phases[1].seconds)
+    sent = _per_second((ending.arrived_s for ending in endings), len(whole_per_s))
+    whole_by_arrival = (item.arrived_s for item in endings if item.result is Result.WHOLE)
+    answered = _per_second(whole_by_arrival, len(whole_per_s))
+    shares = [part / all_ if all_ else 1.0 for part, all_ in zip(answered, sent, strict=True)]
+    return Recovery(
+        goodput_s=_restored_after(whole_per_s, base_s, surge_end_s),
+        share_s=_restored_after(shares, base_s, surge_end_s),
+    )
+
+
+def _restored_after(series: Sequence[float], base_s: int, surge_end_s: int) -> float | None:
+    base = series[WARM_UP_S:base_s]
+    if not base:
+        return None
+    wanted = RESTORED_PART * sum(base) / len(base)
+    for second in range(surge_end_s, len(series) - HOLD_S + 1):
+        if sum(series[second : second + HOLD_S]) / HOLD_S >= wanted:
+            return float(second - surge_end_s)
+    return None
+
+
+def _cells(item: ClassReport) -> tuple[str, ...]:
+    return (
+        item.phase,
+        item.call_class.value,
+        str(item.sent),
+        str(item.attempts),
+        str(item.whole),
+        f"{item.goodput_per_s:.1f}",
+        str(item.not_run),
+        str(item.unknown),
+        str(item.failed),
+        str(item.wrong),
+        str(item.not_sent),
+        _milliseconds(item.p50_ms),
+        _milliseconds(item.p99_ms),
+    )
+
+
+def _milliseconds(value: float | None) -> str:
+    return "-" if value is None else f"{value:.1f}"
+
+
+def _seconds(value: float | None) -> str:
+    return "not seen" if value is None else f"{value:.0f} s"
--- a/src/standins/target.py
+++ b/src/standins/target.py
@@ -25,12 +25,14 @@
 from curio.socket import MSG_PEEK
 from msgspec import MsgspecError
 from msgspec.json import decode
+from msgspec.structs import replace
 
 from pollenbay.announcement import ANNOUNCE_PERIOD_S
 from pollenbay.http1 import HttpRequest, HttpResponse, HttpServer, header_value
 from pollenbay.ids import CallName
 from pollenbay.stream import accept_streams, listen, port_of
 from pollenbay.timer import make_timer
+from pollenbay.translation import DEADLINE_HEADER, KEY_HEADER
 from standins.commands.target import (
     begin_run,
     draw_failure,
@@ -39,7 +41,7 @@
     sample_load,
     set_faults,
 )
-from standins.downstream import DEADLINE_HEADER, KEY_HEADER, Cause, Downstream, make_downstream
+from standins.downstream import Cause, Downstream, make_downstream
 from standins.listener import (
     accept_http,
     json_response,
@@ -210,9 +212,13 @@
 @click.option(
     "--config", required=True, type=click.Path(exists=True, path_type=Path), help="Settings file."
 )
-def main(config: Path) -> None:
+@click.option("--node-port", type=int, help="Outbound port of its node, in place of the file's.")
+def main(config: Path, node_port: int | None) -> None:
     """Run a target stand-in until SIGTERM and the end of the calls in flight."""
-    run(serve_target, load_target_settings(config))
+    settings = load_target_settings(config)
+    if node_port is not None:
+        settings = replace(settings, node_port=node_port)
+    run(serve_target, settings)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/test_standins_load.py
@@ -0,0 +1,121 @@
+"""Tests of the load tool."""
+
+import json
+import subprocess
+
+import pytest
+from harness import Processes, control
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pollenbay.states import CallClass
+from standins.load_settings import Phase
+from standins.load_state import Ending, Result, make_load_state
+from standins.queries.load import check_truth, make_report
+from standins.target_state import Run, RunCounts, RunLog
+
+PHASES = [
+    Phase(name="base", rate_per_s=10, seconds=5),
+    Phase(name="surge", rate_per_s=10, seconds=2),
+    Phase(name="after", rate_per_s=10, seconds=8),
+]
+
+
+@pytest.fixture
+def processes(tmp_path):
+    with Processes(tmp_path) as running:
+        yield running
+
+
+def ending(second: int, result: Result, key: str | None = None) -> Ending:
+    return Ending(CallClass.NORMAL, key, second + 0.2, second + 0.3, (result,))
+
+
+def state_with_outage(first: int, end: int):
+    state = make_load_state()
+    for second in range(15):
+        result = Result.NOT_RUN if first <= second < end else Result.WHOLE
+        state.endings += [ending(second, result) for _ in range(10)]
+    return state
+
+
+class TestReport:
+    @given(st.integers(0, 5))
+    def test_recovery_is_the_time_from_the_end_of_the_surge(self, lag_s):
+        recovery = make_report(state_with_outage(5, 7 + lag_s), PHASES).recovery
+        assert recovery.goodput_s == recovery.share_s == lag_s
+
+    def test_no_recovery_is_said_so(self):
+        recovery = make_report(state_with_outage(5, 14), PHASES).recovery
+        assert recovery.goodput_s is None
+
+    def test_only_whole_answers_are_goodput(self):
+        report = make_report(state_with_outage(5, 7), PHASES)
+        surge = [item for item in report.classes if item.phase == "surge" and item.sent]
+        assert [(item.whole, item.not_run, item.sent) for item in surge] == [(0, 20, 20)]
+
+
+class TestTruth:
+    def log(self, *keys: str) -> RunLog:
+        return RunLog([Run("book", key, "m", 0.0) for key in keys], RunCounts())
+
+    def test_a_key_run_twice_on_two_targets_is_seen(self):
+        truth = check_truth(make_load_state(), [self.log("a", "b"), self.log("a")])
+        assert (truth.keys_run, truth.doubled) == (2, 1)
+
+    def test_a_run_that_was_told_not_run_is_seen(self):
+        state = make_load_state()
+        state.endings = [ending(0, Result.NOT_RUN, "a"), ending(0, Result.NOT_RUN, "b")]
+        assert check_truth(state, [self.log("a")]).run_after_all == 1
+        assert check_truth(state, [self.log("b/stock.reserve")]).run_after_all == 1
+        assert check_truth(state, [self.log("c")]).run_after_all == 0
+
+
+class TestTool:
+    def run(self, processes: Processes, target, retry: dict[str, object]):
+        document = {
+            "phases": [{"name": "base", "rate_per_s": 40, "seconds": 1}],
+            "groups": [
+                {
+                    "name": "shops",
+                    "retry": retry,
+                    "mix": [{"call": "stock.count", "class": "critical", "keyed": True}],
+                },
+                {
+                    "name": "night",
+                    "callers": 2,
+                    "loop": {"kind": "closed", "think_ms": 20},
+                    "mix": [{"call": "stock.count", "class": "normal"}],
+                },
+            ],
+        }
+        config = processes.write_yaml("load.yaml", document)
+        ports = ["--port", str(target.port), "--target-control", str(target.control_port)]
+        tool = processes.spawn("load", "standins.caller", "--config", str(config), *ports)
+        try:
+            output, _ = tool.popen.communicate(timeout=30)
+        except subprocess.TimeoutExpired:
+            pytest.fail("the load tool did not end")
+        assert tool.popen.returncode == 0, tool.errors()
+        report = json.loads(output)
+        return {item["call_class"]: item for item in report["classes"]}, report["truth"]
+
+    @pytest.fixture
+    def target(self, processes):
+        calls = [{"name": "count", "service_ms": 1}]
+        return processes.start_target("target", {"service": "stock", "calls": calls})
+
+    def test_whole_answers_are_counted_by_class(self, processes, target):
+        classes, truth = self.run(processes, target, {"kind": "none"})
+        assert classes["critical"]["whole"] == classes["critical"]["sent"] > 0
+        assert classes["normal"]["whole"] == classes["normal"]["sent"] > 0
+        assert truth["keys_run"] == classes["critical"]["sent"]
+        assert truth["doubled"] == 0
+
+    def test_hard_retries_are_made_and_seen_to_run_again(self, processes, target):
+        control(target, fail_rate=1.0)
+        classes, truth = self.run(processes, target, {"kind": "hard", "times": 2})
+        critical = classes["critical"]
+        assert critical["failed"] == critical["sent"] > 0
+        assert critical["attempts"] == 3 * critical["sent"]
+        assert truth["doubled"] == truth["keys_run"] == critical["sent"]
--- /dev/null
+++ b/tests/test_standins_target.py
@@ -0,0 +1,173 @@
+"""Tests of the target stand-in."""
+
+import json
+from http.client import HTTPConnection, IncompleteRead
+from threading import Thread
+
+import pytest
+from harness import (
+    Process,
+    Processes,
+    control,
+    run_log,
+    runs_of_key,
+    send,
+    wait_until,
+)
+
+from standins.marker import is_own_answer
+
+CALLS = [
+    {"name": "count", "service_ms": 1},
+    {"name": "slow", "service_ms": 3000},
+    {"name": "chain", "service_ms": 1, "calls": ["stock.count", "stock.slow"], "parallel": True},
+    {"name": "short", "service_ms": 1, "calls": ["stock.count", "stock.count"]},
+]
+
+
+@pytest.fixture
+def processes(tmp_path):
+    with Processes(tmp_path) as running:
+        yield running
+
+
+@pytest.fixture
+def target(processes) -> Process:
+    return processes.start_target("target", {"service": "stock", "slots": 1, "calls": CALLS})
+
+
+def target_calling(processes: Processes, node_port: int, **settings: object) -> Process:
+    """Start a target whose node is a proxy, a target or whatever listens on a port."""
+    document = {"service": "shop", "node_port": node_port, "calls": CALLS, **settings}
+    return processes.start_target("shop", document)
+
+
+class TestAnswers:
+    def test_an_answer_is_filled_with_its_marker(self, target):
+        answer = send(target.port, "/stock/count?x=1", headers={"x-marker": "m7", "x-size": "50"})
+        assert answer.headers["x-marker"] == "m7"
+        assert is_own_answer(answer.body, "m7", 50)
+        assert not is_own_answer(answer.body[:-1], "m7", 50)
+        assert not is_own_answer(answer.body, "m8", 50)
+
+    def test_an_unknown_call_is_not_found(self, target):
+        assert send(target.port, "/none").status == 404
+
+    def test_runs_are_logged_with_their_key(self, target):
+        for _ in range(2):
+            send(target.port, "/count", headers={"idempotency-key": "k"})
+        assert runs_of_key([target], "k") == 2
+        assert runs_of_key([target], "other") == 0
+
+    def test_a_bad_size_is_refused(self, target):
+        assert send(target.port, "/count", headers={"x-size": "x"}).status == 400
+        assert send(target.port, "/count").status == 200
+
+
+class TestSlots:
+    def test_calls_beyond_the_slots_wait(self, target):
+        with pytest.raises(TimeoutError):
+            send(target.port, "/slow", within_s=0.2)
+        first = Thread(target=send, args=(target.port, "/slow"))
+        first.start()
+        wait_until(lambda: run_log(target)["counts"]["started"] == 2)
+        with pytest.raises(TimeoutError):
+            send(target.port, "/count", within_s=0.2)
+        first.join()
+        counts = run_log(target)["counts"]
+        assert (counts["received"], counts["started"], counts["finished"]) == (3, 2, 1)
+
+    def test_calls_beyond_the_slots_are_shed_if_so_told(self, processes):
+        document = {"service": "stock", "slots": 1, "shed": True, "calls": CALLS}
+        target = processes.start_target("target", document)
+        first = Thread(target=send, args=(target.port, "/slow"))
+        first.start()
+        wait_until(lambda: run_log(target)["counts"]["started"] == 1)
+        assert send(target.port, "/count").status == 503
+        first.join()
+
+
+class TestGivingUp:
+    def test_work_stops_when_the_client_closes(self, target):
+        connection = HTTPConnection("127.0.0.1", target.port, timeout=5)
+        connection.request("GET", "/slow")
+        wait_until(lambda: run_log(target)["counts"]["started"] == 1)
+        connection.close()
+        wait_until(lambda: run_log(target)["counts"]["cancelled"] == 1, 2.0)
+        assert send(target.port, "/count").status == 200
+        assert [run["finished"] for run in run_log(target)["runs"]] == [False, True]
+
+    def test_work_stops_at_the_deadline(self, target):
+        answer = send(target.port, "/slow", headers={"pollenbay-deadline-ms": "100"})
+        assert answer.status == 504
+        assert run_log(target)["counts"]["expired"] == 1
+
+
+class TestOwnCalls:
+    def test_own_calls_carry_context_key_and_less_time(self, processes, target):
+        shop = target_calling(processes, target.port)
+        headers = {"idempotency-key": "k", "pollenbay-deadline-ms": "2000"}
+        assert send(shop.port, "/short", headers=headers).status == 200
+        assert runs_of_key([target], "k/stock.count") == 2
+
+    def test_a_failed_own_call_fails_the_call(self, processes, target):
+        shop = target_calling(processes, target.port)
+        control(target, fail_rate=1.0)
+        assert send(shop.port, "/short").status == 502
+        counts = run_log(shop)["counts"]
+        assert (counts["calls_failed"], counts["finished"]) == (1, 0)
+        assert run_log(target)["counts"]["received"] == 1
+
+    def test_parallel_calls_are_made_at_once(self, processes):
+        wide = processes.start_target("wide", {"service": "stock", "slots": 2, "calls": CALLS})
+        shop = target_calling(processes, wide.port)
+        call = Thread(target=send, args=(shop.port, "/chain"))
+        call.start()
+        wait_until(lambda: run_log(wide)["counts"]["started"] == 2)
+        call.join()
+
+
+class TestFaults:
+    def test_hang_runs_and_never_answers(self, target):
+        control(target, hang=True)
+        with pytest.raises(TimeoutError):
+            send(target.port, "/count", within_s=0.3)
+        assert run_log(target)["counts"]["started"] == 1
+
+    def test_a_cut_answer_stops_short(self, target):
+        control(target, cut_short=True)
+        with pytest.raises(IncompleteRead):
+            send(target.port, "/count")
+
+    def test_failures_are_as_seeded(self, processes):
+        def statuses() -> list[int]:
+            document = {"service": "stock", "seed": 5, "calls": CALLS}
+            target = processes.start_target("seeded", document)
+            control(target, fail_rate=0.5)
+            return [send(target.port, "/count").status for _ in range(20)]
+
+        first = statuses()
+        assert {200, 500} == set(first)
+        assert statuses() == first
+
+    def test_an_unknown_fault_is_refused(self, target):
+        answer = send(target.control_port, "/control", "POST", json.dumps({"hangs": True}))
+        assert answer.status == 400
+
+
+class TestAnnouncements:
+    def test_a_node_that_takes_none_is_counted(self, processes, target):
+        shop = target_calling(processes, target.port)
+        wait_until(lambda: run_log(shop)["counts"]["announcements_failed"] >= 2)
+
+    def test_sigterm_waits_for_calls_in_flight(self, processes):
+        document = {"service": "stock", "linger_s": 0.1, "calls": CALLS}
+        target = processes.start_target("target", document)
+        answers = []
+        call = Thread(target=lambda: answers.append(send(target.port, "/slow")))
+        call.start()
+        wait_until(lambda: run_log(target)["counts"]["started"] == 1)
+        target.terminate()
+        assert target.wait() == 0
+        call.join()
+        assert answers[0].status == 200
