--- /dev/null
+++ b/tests/table_double.py
@@ -0,0 +1,120 @@
+"""A table in memory with the faults that a claim can meet."""
+
+from collections import deque
+from enum import Enum
+
+from curio import Event
+from result import Err, Ok, Result
+
+from pollenbay.ids import RowKey, RowVersion
+from pollenbay.table import (
+    Check,
+    Row,
+    TableConflictError,
+    TableError,
+    TableUnavailableError,
+    TableUnknownError,
+    Write,
+)
+from pollenbay.timer import Timer
+
+
+class Fault(Enum):
+    """What goes wrong with one write."""
+
+    NONE = "none"
+    REFUSED = "refused"
+    ANSWER_LOST = "answer-lost"
+    NOT_ARRIVED = "not-arrived"
+    LATE = "late"
+
+
+class TableDouble:
+    """Applies transactions to a dictionary.
+
+    :param faults: faults of the next writes, one each.
+    :param down: whether reads and writes fail without effect.
+    :param gate: if set, writes wait for it before they take effect.
+    """
+
+    def __init__(self) -> None:
+        self.rows: dict[RowKey, Row] = {}
+        self.versions: dict[RowKey, int] = {}
+        self.faults: deque[Fault] = deque()
+        self.late: list[tuple[list[Check], list[Write]]] = []
+        self.down = False
+        self.read_down = False
+        self.gate: Event | None = None
+        self.stale: dict[RowKey, Row] | None = None
+        self.sizes: list[int] = []
+        self.reads = 0
+
+    async def get(self, key: RowKey) -> Result[Row | None, TableError]:
+        """Read one row."""
+        self.reads += 1
+        if self.down or self.read_down:
+            return Err(TableUnavailableError("down"))
+        rows = self.rows if self.stale is None else self.stale
+        return Ok(rows.get(key))
+
+    async def scan(
+        self, prefix: str, after: str = "", limit: int = 1000
+    ) -> Result[list[Row], TableError]:
+        """Read rows by key."""
+        keys = sorted(key for key in self.rows if key.startswith(prefix) and key > after)
+        return Ok([self.rows[key] for key in keys[:limit]])
+
+    async def transact(self, checks: list[Check], writes: list[Write]) -> Result[None, TableError]:
+        """Apply all or nothing, under the next fault."""
+        self.sizes.append(len(writes))
+        if self.gate is not None:
+            await self.gate.wait()
+        fault = self.faults.popleft() if self.faults else Fault.NONE
+        if self.down or fault is Fault.REFUSED:
+            return Err(TableUnavailableError("down"))
+        if fault is Fault.NOT_ARRIVED:
+            return Err(TableUnknownError("never arrived"))
+        if fault is Fault.LATE:
+            self.late.append((checks, writes))
+            return Err(TableUnknownError("arrives later"))
+        applied = self.apply(checks, writes)
+        if fault is Fault.ANSWER_LOST:
+            return Err(TableUnknownError("answer lost"))
+        return Ok(None) if applied else Err(TableConflictError("conflict"))
+
+    def land(self) -> None:
+        """Let the late writes arrive."""
+        late, self.late = self.late, []
+        for checks, writes in late:
+            self.apply(checks, writes)
+
+    def apply(self, checks: list[Check], writes: list[Write]) -> bool:
+        """Apply one transaction and tell whether its checks held."""
+        if any(self._version(check.key) != check.version for check in checks):
+            return False
+        for write in writes:
+            self._put(write)
+        return True
+
+    def _version(self, key: RowKey) -> int:
+        row = self.rows.get(key)
+        return 0 if row is None else row.version
+
+    def _put(self, write: Write) -> None:
+        version = self.versions.get(write.key, 0) + 1
+        self.versions[write.key] = version
+        self.rows.pop(write.key, None)
+        if write.value is not None:
+            self.rows[write.key] = Row(write.key, RowVersion(version), write.value)
+
+
+class ManualTimer(Timer):
+    """A timer whose clock stands still until a test moves it."""
+
+    def __init__(self, now: float = 1000.0) -> None:
+        super().__init__()
+        self.time_s = now
+
+    def now(self) -> float:
+        """Return the time set."""
+        return self.time_s
