--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,9 @@
 format: setup
 	$(VENV)/bin/black src tests
 	$(VENV)/bin/ruff check --fix src tests
+
+# DEPLOYMENT is sagbru or esernyo.
+DEPLOYMENT ?= sagbru
+
+demo: setup
+	PYTHON=$(VENV)/bin/python demo/run.sh $(DEPLOYMENT)
