--- a/src/standins/target.py
+++ b/src/standins/target.py
@@ -55,6 +55,7 @@
 from standins.target_settings import CallSettings, TargetSettings, load_target_settings
 from standins.target_state import Faults, Run, TargetStore, make_target_store
 
+FOREIGN_MARKER = "foreign"
 CUT_SHORT_HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n"
 
 
@@ -151,16 +152,17 @@
         if draw_failure(self._store):
             self._store.counts.failed += 1
             return text_response(500, "failed")
-        return _own_answer(cause)
+        marker = FOREIGN_MARKER if self._store.faults.foreign else cause.marker
+        return _make_answer(cause, marker)
 
     async def _call_others(self, call: CallSettings, cause: Cause) -> bool:
         return self._downstream is not None and await self._downstream.call_all(call, cause)
 
 
-def _own_answer(cause: Cause) -> HttpResponse:
+def _make_answer(cause: Cause, marker: str) -> HttpResponse:
     size = int(header_value(cause.headers, SIZE_HEADER) or DEFAULT_SIZE_BYTES)
-    headers = [(b"content-type", b"text/plain"), (MARKER_HEADER, cause.marker.encode("latin-1"))]
-    return HttpResponse(200, headers, make_body(cause.marker, size))
+    headers = [(b"content-type", b"text/plain"), (MARKER_HEADER, marker.encode("latin-1"))]
+    return HttpResponse(200, headers, make_body(marker, size))
 
 
 async def _cancel_when_closed(sock: Socket, task: Task) -> None:
--- a/src/standins/target_state.py
+++ b/src/standins/target_state.py
@@ -17,6 +17,7 @@
     :param fail_rate: share of calls that run and are answered with 500.
     :param hang: calls run and are never answered.
     :param cut_short: answers end before their stated length.
+    :param foreign: answers are whole but those to another request.
     :param reported_load: load to report whatever the truth; None for the truth.
     :param load_lag_s: age of the load that is reported, in seconds.
     :param silent: no announcements are made.
@@ -27,6 +28,7 @@
     fail_rate: float = 0.0
     hang: bool = False
     cut_short: bool = False
+    foreign: bool = False
     reported_load: float | None = None
     load_lag_s: float = 0.0
     silent: bool = False
--- /dev/null
+++ b/tests/test_standins_downstream.py
@@ -0,0 +1,79 @@
+"""Tests of the calls that a target makes through its node."""
+
+from time import monotonic
+
+from curio import run
+
+from pollenbay.announcement import Announcement
+from pollenbay.http1 import HttpExchangeError, HttpRequest, HttpResponse, header_value
+from pollenbay.ids import CallName, ServiceName
+from pollenbay.states import TargetState
+from standins.downstream import Cause, make_downstream
+from standins.marker import make_body
+from standins.target_settings import CallSettings
+from standins.target_state import RunCounts
+
+CALL = CallSettings(name=CallName("book"), service_ms=1, calls=("stock.reserve",))
+ANNOUNCEMENT = Announcement(
+    service=ServiceName("shop"), address="127.0.0.1", port=1, slots=1, state=TargetState.SERVING
+)
+
+
+class RecordingPool:
+    """Stands where a pool of connections would, and answers with the right marker."""
+
+    host = b"node"
+
+    def __init__(self, status: int = 200) -> None:
+        self.requests: list[HttpRequest] = []
+        self._status = status
+
+    async def exchange(self, request: HttpRequest) -> HttpResponse:
+        self.requests.append(request)
+        if self._status == 0:
+            raise HttpExchangeError("broken")
+        marker = (header_value(request.headers, b"x-marker") or b"").decode()
+        return HttpResponse(self._status, [], make_body(marker, 200))
+
+
+def cause(**left: float) -> Cause:
+    headers = [(b"pollenbay-context", b"c1"), (b"idempotency-key", b"k")]
+    deadline = monotonic() + left["left_s"] if left else None
+    return Cause(headers, "m", deadline)
+
+
+class TestCalls:
+    def test_context_key_and_marker_go_along(self):
+        pool = RecordingPool()
+        assert run(make_downstream(pool, RunCounts()).call_all, CALL, cause())
+        sent = pool.requests[0]
+        assert sent.target == b"/stock/reserve"
+        assert header_value(sent.headers, b"pollenbay-context") == b"c1"
+        assert header_value(sent.headers, b"idempotency-key") == b"k/stock.reserve"
+        assert header_value(sent.headers, b"x-marker") == b"m/stock.reserve"
+        assert header_value(sent.headers, b"pollenbay-deadline-ms") is None
+
+    def test_the_deadline_that_goes_along_is_what_is_left(self):
+        pool = RecordingPool()
+        run(make_downstream(pool, RunCounts()).call_all, CALL, cause(left_s=100.0))
+        left_ms = int(header_value(pool.requests[0].headers, b"pollenbay-deadline-ms"))
+        assert 0 < left_ms <= 100_000
+
+    def test_a_deadline_just_past_still_goes_along_as_a_time(self):
+        pool = RecordingPool()
+        run(make_downstream(pool, RunCounts()).call_all, CALL, cause(left_s=-1.0))
+        assert header_value(pool.requests[0].headers, b"pollenbay-deadline-ms") == b"1"
+
+    def test_a_broken_connection_is_a_failed_call(self):
+        assert not run(make_downstream(RecordingPool(0), RunCounts()).call_all, CALL, cause())
+
+
+class TestAnnouncing:
+    def test_announcements_that_are_refused_are_counted(self):
+        for status, failed in ((204, 0), (500, 1), (0, 1)):
+            counts = RunCounts()
+            pool = RecordingPool(status)
+            run(make_downstream(pool, counts).announce, ANNOUNCEMENT)
+            assert pool.requests[0].target == b"/pollenbay/announce"
+            assert b'"state":"serving"' in pool.requests[0].body
+            assert counts.announcements_failed == failed
--- a/tests/test_standins_load.py
+++ b/tests/test_standins_load.py
@@ -119,3 +119,14 @@
         assert critical["failed"] == critical["sent"] > 0
         assert critical["attempts"] == 3 * critical["sent"]
         assert truth["doubled"] == truth["keys_run"] == critical["sent"]
+
+    def test_answers_to_another_request_are_wrong(self, processes, target):
+        control(target, foreign=True)
+        classes, _ = self.run(processes, target, {"kind": "hard", "times": 2})
+        critical = classes["critical"]
+        assert critical["wrong"] == critical["sent"] == critical["attempts"] > 0
+
+    def test_broken_answers_are_unknown(self, processes, target):
+        control(target, cut_short=True)
+        classes, _ = self.run(processes, target, {"kind": "none"})
+        assert classes["critical"]["unknown"] == classes["critical"]["sent"] > 0
--- a/tests/test_standins_target.py
+++ b/tests/test_standins_target.py
@@ -14,8 +14,14 @@
     send,
     wait_until,
 )
+from msgspec import convert
 
+from pollenbay.states import TargetState
+from standins.commands.target import draw_service_time, sample_load, set_faults
 from standins.marker import is_own_answer
+from standins.queries.target import make_announcement
+from standins.target_settings import TargetSettings
+from standins.target_state import Faults, make_target_store
 
 CALLS = [
     {"name": "count", "service_ms": 1},
@@ -118,6 +124,12 @@
         assert (counts["calls_failed"], counts["finished"]) == (1, 0)
         assert run_log(target)["counts"]["received"] == 1
 
+    def test_a_foreign_answer_to_an_own_call_fails_the_call(self, processes, target):
+        shop = target_calling(processes, target.port)
+        control(target, foreign=True)
+        assert send(shop.port, "/short").status == 502
+        assert run_log(shop)["counts"]["calls_wrong"] == 1
+
     def test_parallel_calls_are_made_at_once(self, processes):
         wide = processes.start_target("wide", {"service": "stock", "slots": 2, "calls": CALLS})
         shop = target_calling(processes, wide.port)
@@ -155,6 +167,59 @@
         assert answer.status == 400
 
 
+class TestServiceTime:
+    def store(self, **settings: object):
+        document = {"service": "stock", "calls": CALLS, **settings}
+        return make_target_store(convert(document, TargetSettings), 100.0)
+
+    def test_a_cold_target_is_slower(self):
+        store = self.store(cold_start_s=5, cold_factor=4)
+        assert draw_service_time(store, "slow", 104.0) == pytest.approx(12.0)
+        assert draw_service_time(store, "slow", 106.0) == pytest.approx(3.0)
+
+    def test_a_fault_slows_all_calls(self):
+        store = self.store()
+        set_faults(store, Faults(service_time_factor=2.0))
+        assert draw_service_time(store, "slow", 101.0) == pytest.approx(6.0)
+
+    def test_jitter_stays_within_its_share(self):
+        store = self.store(jitter=0.1)
+        times = [draw_service_time(store, "slow", 101.0) for _ in range(200)]
+        assert 2.7 <= min(times) < 2.9 and 3.1 < max(times) <= 3.3
+
+
+class TestReports:
+    def report(self, store, now: float):
+        return make_announcement(store, 80, sample_load(store, now))
+
+    @pytest.fixture
+    def store(self):
+        document = {"service": "stock", "slots": 4, "calls": CALLS}
+        return make_target_store(convert(document, TargetSettings), 100.0)
+
+    def test_the_truth_is_reported_without_faults(self, store):
+        store.in_flight = 3
+        announcement = self.report(store, 101.0)
+        assert (announcement.in_flight, announcement.reported_load) == (3, 0.75)
+        assert (announcement.state, announcement.port) == (TargetState.SERVING, 80)
+
+    def test_a_lagging_report_is_old(self, store):
+        set_faults(store, Faults(load_lag_s=2.0))
+        for second, in_flight in enumerate([1, 2, 3, 4]):
+            store.in_flight = in_flight
+            announcement = self.report(store, 101.0 + second)
+        assert announcement.in_flight == 2
+
+    def test_a_misleading_report_is_as_set(self, store):
+        store.in_flight = 4
+        set_faults(store, Faults(reported_load=0.0))
+        assert self.report(store, 101.0).in_flight == 0
+
+    def test_a_leaving_target_says_so(self, store):
+        set_faults(store, Faults(leave=True))
+        assert self.report(store, 101.0).state is TargetState.LEAVING
+
+
 class TestAnnouncements:
     def test_a_node_that_takes_none_is_counted(self, processes, target):
         shop = target_calling(processes, target.port)
