--- a/src/pollenbay/commands/gossiping.py
+++ b/src/pollenbay/commands/gossiping.py
@@ -2,7 +2,7 @@
 
 from logging import getLogger
 
-from curio import TaskGroup, spawn
+from curio import CancelledError, TaskGroup, spawn
 
 from pollenbay.commands.heartbeat import renew_report
 from pollenbay.commands.joining import run_announcements, run_joining
@@ -48,6 +48,11 @@
     _announce(membership, MemberState.SERVING)
 
 
+def announce_absent(membership: Membership) -> None:
+    """Tell all nodes that the target of this one takes no calls for now."""
+    _announce(membership, MemberState.STARTING)
+
+
 def announce_leaving(membership: Membership) -> None:
     """Tell all nodes that this one takes no new calls; final for its incarnation."""
     _announce(membership, MemberState.LEAVING)
@@ -123,7 +128,7 @@
     membership.differs_since.pop(instance, None)
     membership.asked.discard(instance)
     await task.wait()
-    if task.exception is not None:
+    if task.exception is not None and not isinstance(task.exception, CancelledError):
         LOG.error("peer task failed", extra={"peer": instance, "error": repr(task.exception)})
 
 
--- a/src/standins/target.py
+++ b/src/standins/target.py
@@ -25,12 +25,14 @@
 from curio.socket import MSG_PEEK
 from msgspec import MsgspecError
 from msgspec.json import decode
+from msgspec.structs import replace
 
 from pollenbay.announcement import ANNOUNCE_PERIOD_S
 from pollenbay.http1 import HttpRequest, HttpResponse, HttpServer, header_value
 from pollenbay.ids import CallName
 from pollenbay.stream import accept_streams, listen, port_of
 from pollenbay.timer import make_timer
+from pollenbay.translation import DEADLINE_HEADER, KEY_HEADER
 from standins.commands.target import (
     begin_run,
     draw_failure,
@@ -39,7 +41,7 @@
     sample_load,
     set_faults,
 )
-from standins.downstream import DEADLINE_HEADER, KEY_HEADER, Cause, Downstream, make_downstream
+from standins.downstream import Cause, Downstream, make_downstream
 from standins.listener import (
     accept_http,
     json_response,
@@ -53,6 +55,7 @@
 from standins.target_settings import CallSettings, TargetSettings, load_target_settings
 from standins.target_state import Faults, Run, TargetStore, make_target_store
 
+FOREIGN_MARKER = "foreign"
 CUT_SHORT_HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n"
 
 
@@ -149,16 +152,17 @@
         if draw_failure(self._store):
             self._store.counts.failed += 1
             return text_response(500, "failed")
-        return _own_answer(cause)
+        marker = FOREIGN_MARKER if self._store.faults.foreign else cause.marker
+        return _make_answer(cause, marker)
 
     async def _call_others(self, call: CallSettings, cause: Cause) -> bool:
         return self._downstream is not None and await self._downstream.call_all(call, cause)
 
 
-def _own_answer(cause: Cause) -> HttpResponse:
+def _make_answer(cause: Cause, marker: str) -> HttpResponse:
     size = int(header_value(cause.headers, SIZE_HEADER) or DEFAULT_SIZE_BYTES)
-    headers = [(b"content-type", b"text/plain"), (MARKER_HEADER, cause.marker.encode("latin-1"))]
-    return HttpResponse(200, headers, make_body(cause.marker, size))
+    headers = [(b"content-type", b"text/plain"), (MARKER_HEADER, marker.encode("latin-1"))]
+    return HttpResponse(200, headers, make_body(marker, size))
 
 
 async def _cancel_when_closed(sock: Socket, task: Task) -> None:
@@ -210,9 +214,13 @@
 @click.option(
     "--config", required=True, type=click.Path(exists=True, path_type=Path), help="Settings file."
 )
-def main(config: Path) -> None:
+@click.option("--node-port", type=int, help="Outbound port of its node, in place of the file's.")
+def main(config: Path, node_port: int | None) -> None:
     """Run a target stand-in until SIGTERM and the end of the calls in flight."""
-    run(serve_target, load_target_settings(config))
+    settings = load_target_settings(config)
+    if node_port is not None:
+        settings = replace(settings, node_port=node_port)
+    run(serve_target, settings)
 
 
 if __name__ == "__main__":
