Let callers in that find the queue full of one other caller; state machine of the gate

The queue that a lone caller had filled in its share kept newcomers out until it drained; a queued call of a caller that has its share now yields. Seen red by the new test before the change.

--- a/src/pollenbay/commands/admission.py
+++ b/src/pollenbay/commands/admission.py
@@ -3,11 +3,16 @@
 Functions return the waiters that they settled; the caller sets the events of these.
 """
 
+from itertools import islice
+
 from pollenbay.gate import Arrival, Gate, Refusal, Ticket, Waiter
 from pollenbay.queries.admission import can_meet_deadline, has_slot, needed_s
 from pollenbay.states import Reason
 from pollenbay.waiting import level_of
 
+#: Waiters looked at to find one whose caller has more than its share.
+OLDEST_TRIED = 8
+
 
 def admit(gate: Gate, arrival: Arrival, now: float) -> Ticket | Waiter | Refusal:
     """Let an arrival in, queue it or refuse it.
@@ -21,14 +26,13 @@
     if has_slot(gate) and not gate.line:
         return _enter(gate, arrival, now)
     over_share = gate.shares.over_share(rank, arrival.caller, gate.limit.value)
-    level = level_of(rank, over_share)
-    displaced = None
+    waiter = Waiter(arrival, level_of(rank, over_share))
     if len(gate.line) >= gate.queue_bound:
-        if not _may_displace(gate, level, now):
+        waiter.displaced = _take_place(gate, waiter, now)
+        if waiter.displaced is None:
             reason = Reason.CALLER_SHARE if over_share else Reason.OVERLOAD
             return _refusal(gate, arrival, reason)
-        displaced = _displace(gate, now)
-    return _queue(gate, Waiter(arrival, level, displaced=displaced), now)
+    return _queue(gate, waiter, now)
 
 
 def release(gate: Gate, ticket: Ticket, latency_s: float, ok: bool, now: float) -> list[Waiter]:
@@ -78,17 +82,27 @@
     gate.limit.start_cold(now)
 
 
-def _may_displace(gate: Gate, level: int, now: float) -> bool:
-    last = gate.line.last_level()
-    if level == last:
-        return gate.line.levels[level].newest_first(now)
-    return level < last
-
-
-def _displace(gate: Gate, now: float) -> Waiter:
-    waiter = gate.line.pop_last(now)
-    _refuse(gate, waiter, Reason.OVERLOAD)
-    return waiter
+def _take_place(gate: Gate, newcomer: Waiter, now: float) -> Waiter | None:
+    victim = _victim(gate, newcomer, now)
+    if victim is not None:
+        gate.line.remove(victim)
+        _refuse(gate, victim, Reason.OVERLOAD)
+    return victim
+
+
+def _victim(gate: Gate, newcomer: Waiter, now: float) -> Waiter | None:
+    last = gate.line.last(now)
+    if last is None or last.level < newcomer.level:
+        return None
+    level = gate.line.levels[last.level]
+    if last.level > newcomer.level or level.newest_first(now):
+        return last
+    rank, limit = newcomer.arrival.call_class.rank, gate.limit.value
+    caller = newcomer.arrival.caller
+    for waiter in islice(level, OLDEST_TRIED):
+        if gate.shares.yields_to(rank, waiter.arrival.caller, caller, limit):
+            return waiter
+    return None
 
 
 def _queue(gate: Gate, waiter: Waiter, now: float) -> Waiter:
--- a/src/pollenbay/queries/routing.py
+++ b/src/pollenbay/queries/routing.py
@@ -36,10 +36,12 @@
     :param may_probe: whether this call may be such an attempt.
     """
     first = _sample(view, scores, candidates.near, excluded, now, rng, None, may_probe)
+    if first is None:
+        first = _sample(view, scores, candidates.subset, excluded, now, rng, None, may_probe)
     second = _sample(view, scores, candidates.subset, excluded, now, rng, first, may_probe)
     if first is not None and second is not None:
         return _better(scores, first, second, now)
-    return first or second or _fallback(view, scores, candidates, excluded, now)
+    return first or _fallback(view, scores, candidates, excluded, now)
 
 
 def cost(member: Member, score: Score | None, now: float) -> float:
--- a/src/pollenbay/score.py
+++ b/src/pollenbay/score.py
@@ -53,7 +53,7 @@
 
     :param changes: change counter of the service when the lists were made.
     :param made_at: monotonic seconds.
-    :param near: those of the nearest zone that has any.
+    :param near: those at the least distance: on this host, else in this zone and so on.
     :param subset: those that are called; holds `near`.
     :param spare: serving ones outside the subset.
     :param suspects: those that may be dead, the last resort.
--- a/src/pollenbay/share.py
+++ b/src/pollenbay/share.py
@@ -40,6 +40,13 @@
             return False
         return own * (others + 1) >= limit
 
+    def yields_to(self, rank: int, holder: CallerId, newcomer: CallerId, limit: int) -> bool:
+        """Tell whether a caller has so much that a queued call of it yields to a newcomer's."""
+        calls = self._calls[rank]
+        callers = len(calls) + int(newcomer not in calls)
+        own = calls.get(holder, 0)
+        return holder != newcomer and own > 1 and own * callers >= limit
+
 
 def make_shares() -> Shares:
     """Return an empty account of the callers."""
--- a/src/pollenbay/shedding.py
+++ b/src/pollenbay/shedding.py
@@ -11,7 +11,8 @@
 LEAST_RANK = len(CallClass) - 1
 REFUSED_WEIGHT = 0.5
 RETRY_AFTER_MIN_S = 0.25
-RETRY_AFTER_MAX_S = 30.0
+#: Longest wait before it is spread.
+RETRY_AFTER_MAX_S = 5.0
 #: Each rank of lesser importance waits so many times longer.
 RETRY_AFTER_RANK_FACTOR = 2.0
 SPREAD_STEP = 0.6180339887498949
@@ -70,7 +71,7 @@
         self._spread = (self._spread + SPREAD_STEP) % 1.0
         served_part = max(1.0 - self._refused_part, 1e-3)
         wait_s = RETRY_AFTER_MIN_S * RETRY_AFTER_RANK_FACTOR**rank / served_part
-        return min(wait_s * (0.5 + self._spread), RETRY_AFTER_MAX_S)
+        return min(wait_s, RETRY_AFTER_MAX_S) * (0.5 + self._spread)
 
     def _smooth_refused(self) -> None:
         arrivals = sum(self._arrivals)
--- a/src/pollenbay/subset.py
+++ b/src/pollenbay/subset.py
@@ -33,10 +33,12 @@
 
 
 def distance(place: Place, origin: Place) -> int:
-    """Return 0 in the same zone, 1 in the same region, 2 beyond."""
+    """Return 0 on the same host, 1 in the same zone, 2 in the same region, 3 beyond."""
     if place.region != origin.region:
+        return 3
+    if place.zone != origin.zone:
         return 2
-    return int(place.zone != origin.zone)
+    return int(place.host != origin.host)
 
 
 def _by_distance(members: list[Member], origin: Place) -> list[Member]:
--- a/src/pollenbay/waiting.py
+++ b/src/pollenbay/waiting.py
@@ -67,14 +67,11 @@
                 del self._by_arrival[waiter]
                 return waiter
 
-    def pop_last(self, now: float) -> Waiter:
-        """Take out the one that would be served last."""
+    def last(self, now: float) -> Waiter:
+        """Return the one that would be served last."""
         if self.newest_first(now):
-            waiter = next(iter(self._by_arrival))
-        else:
-            waiter = next(reversed(self._by_arrival))
-        self.remove(waiter)
-        return waiter
+            return next(iter(self._by_arrival))
+        return next(reversed(self._by_arrival))
 
 
 class WaitingLine:
@@ -115,17 +112,12 @@
                 return level.pop(now)
         return None
 
-    def last_level(self) -> int:
-        """Return the least important level that has a waiter, or -1."""
-        for level in range(LEVELS - 1, -1, -1):
-            if self._levels[level]:
-                return level
-        return -1
-
-    def pop_last(self, now: float) -> Waiter:
-        """Take out the one that would be served last; there has to be one."""
-        self._size -= 1
-        return self._levels[self.last_level()].pop_last(now)
+    def last(self, now: float) -> Waiter | None:
+        """Return the one that would be served last, or None if there is none."""
+        for level in reversed(self._levels):
+            if level:
+                return level.last(now)
+        return None
 
 
 def make_waiting_line() -> WaitingLine:
--- /dev/null
+++ b/tests/test_admission.py
@@ -0,0 +1,254 @@
+"""Tests of the decisions at the gate, one feature each."""
+
+from pollenbay.commands.admission import abandon, admit, expire, release, resume, set_slots
+from pollenbay.gate import QUEUE_MIN, Arrival, Gate, Refusal, Ticket, Waiter, make_gate
+from pollenbay.ids import CallerId
+from pollenbay.queries.admission import LATENCY_VALID_S, load
+from pollenbay.states import CallClass, Reason
+
+NOW = 50.0
+
+
+def arrival(
+    call_class: CallClass = CallClass.NORMAL,
+    caller: str = "driver",
+    wait_s: float = 10.0,
+    expected_s: float = 0.0,
+) -> Arrival:
+    return Arrival(call_class, CallerId(caller), NOW + wait_s, NOW, expected_s)
+
+
+def fill(gate: Gate, call_class: CallClass = CallClass.NORMAL) -> list[Ticket]:
+    tickets = []
+    for index in range(gate.limit.value):
+        ticket = admit(gate, arrival(call_class, f"holder-{index}"), NOW)
+        assert isinstance(ticket, Ticket)
+        tickets.append(ticket)
+    return tickets
+
+
+def queue(gate: Gate, count: int, call_class: CallClass, prefix: str = "waiter") -> list[Waiter]:
+    waiters = []
+    for index in range(count):
+        waiter = admit(gate, arrival(call_class, f"{prefix}-{index}"), NOW)
+        assert isinstance(waiter, Waiter)
+        waiters.append(waiter)
+    return waiters
+
+
+class TestClasses:
+    def test_critical_is_served_before_what_came_earlier(self) -> None:
+        gate = make_gate(1)
+        (ticket,) = fill(gate)
+        queue(gate, 2, CallClass.SHEDDABLE)
+        queue(gate, 1, CallClass.NORMAL)
+        (critical,) = queue(gate, 1, CallClass.CRITICAL)
+        assert release(gate, ticket, 0.1, True, NOW) == [critical]
+
+    def test_critical_pushes_out_the_queued_sheddable(self) -> None:
+        gate = make_gate(1)
+        fill(gate)
+        queue(gate, QUEUE_MIN - 1, CallClass.NORMAL)
+        (sheddable,) = queue(gate, 1, CallClass.SHEDDABLE, "poller")
+        newcomer = admit(gate, arrival(CallClass.CRITICAL, "mill"), NOW)
+        assert isinstance(newcomer, Waiter)
+        assert newcomer.displaced is sheddable
+        assert isinstance(sheddable.decision, Refusal)
+        assert sheddable.decision.reason is Reason.OVERLOAD
+
+    def test_sheddable_is_refused_while_more_important_ones_fill_the_queue(self) -> None:
+        gate = make_gate(1)
+        fill(gate)
+        queue(gate, QUEUE_MIN, CallClass.CRITICAL)
+        refusal = admit(gate, arrival(CallClass.SHEDDABLE, "poller"), NOW)
+        assert isinstance(refusal, Refusal)
+        assert refusal.reason is Reason.OVERLOAD
+
+    def test_no_critical_is_refused_while_a_lesser_class_waits(self) -> None:
+        gate = make_gate(2)
+        fill(gate, CallClass.SHEDDABLE)
+        queue(gate, QUEUE_MIN, CallClass.SHEDDABLE)
+        for index in range(QUEUE_MIN):
+            decision = admit(gate, arrival(CallClass.CRITICAL, f"mill-{index}"), NOW)
+            assert isinstance(decision, Waiter)
+        assert all(waiter.arrival.call_class is CallClass.CRITICAL for waiter in gate.line)
+
+
+class TestDeadlines:
+    def test_past_deadline_is_refused(self) -> None:
+        refusal = admit(make_gate(1), arrival(wait_s=0.0), NOW)
+        assert isinstance(refusal, Refusal)
+        assert refusal.reason is Reason.DEADLINE
+
+    def test_too_little_time_for_the_expected_work_is_refused(self) -> None:
+        gate = make_gate(4)
+        ticket = admit(gate, arrival(), NOW)
+        assert isinstance(ticket, Ticket)
+        release(gate, ticket, 0.5, True, NOW)
+        assert isinstance(admit(gate, arrival(wait_s=0.4), NOW), Refusal)
+        assert isinstance(admit(gate, arrival(wait_s=0.6), NOW), Ticket)
+        assert isinstance(admit(gate, arrival(wait_s=0.6, expected_s=0.7), NOW), Refusal)
+
+    def test_old_latency_is_measured_again_by_one_call(self) -> None:
+        gate = make_gate(4)
+        ticket = admit(gate, arrival(), NOW)
+        assert isinstance(ticket, Ticket)
+        release(gate, ticket, 5.0, True, NOW)
+        later = NOW + LATENCY_VALID_S + 0.1
+        assert isinstance(admit(gate, arrival(wait_s=2.0), later), Ticket)
+        assert isinstance(admit(gate, arrival(wait_s=2.0), later), Refusal)
+
+    def test_waiters_that_cannot_make_it_are_dropped(self) -> None:
+        gate = make_gate(1)
+        (ticket,) = fill(gate)
+        late = admit(gate, arrival(wait_s=1.0, caller="late"), NOW)
+        (patient,) = queue(gate, 1, CallClass.NORMAL)
+        assert expire(gate, NOW + 2.0) == [late]
+        assert isinstance(late, Waiter) and isinstance(late.decision, Refusal)
+        assert late.decision.reason is Reason.QUEUE_TIMEOUT
+        assert release(gate, ticket, 0.1, True, NOW + 2.0) == [patient]
+
+    def test_a_slot_is_never_spent_on_a_waiter_past_its_deadline(self) -> None:
+        gate = make_gate(1)
+        (ticket,) = fill(gate)
+        late = admit(gate, arrival(wait_s=0.2, caller="late"), NOW)
+        (patient,) = queue(gate, 1, CallClass.NORMAL)
+        assert release(gate, ticket, 0.1, True, NOW + 0.3) == [late, patient]
+        assert isinstance(patient.decision, Ticket)
+        assert gate.in_flight == 1
+
+
+class TestCallers:
+    def test_a_lone_caller_may_use_everything(self) -> None:
+        gate = make_gate(8)
+        decisions = [admit(gate, arrival(caller="script"), NOW) for _ in range(16)]
+        assert [type(decision) for decision in decisions] == [Ticket] * 8 + [Waiter] * 8
+        assert all(waiter.level == 2 for waiter in gate.line)
+
+    def test_a_flooding_caller_does_not_hold_the_others_out(self) -> None:
+        gate = make_gate(8)
+        tickets = [admit(gate, arrival(caller="script"), NOW) for _ in range(8)]
+        for _ in range(100):
+            admit(gate, arrival(caller="script"), NOW)
+        others = [admit(gate, arrival(caller=f"shop-{n}"), NOW) for n in range(4)]
+        assert all(isinstance(other, Waiter) for other in others)
+        for _ in range(100):
+            admit(gate, arrival(caller="script"), NOW)
+        settled = []
+        for ticket in tickets[:8]:
+            assert isinstance(ticket, Ticket)
+            settled += release(gate, ticket, 0.1, True, NOW)
+        assert all(other in settled for other in others)
+
+    def test_what_exceeds_a_share_is_refused_as_such(self) -> None:
+        gate = make_gate(2)
+        fill(gate)
+        queue(gate, QUEUE_MIN, CallClass.NORMAL)
+        refusal = admit(gate, arrival(caller="holder-0"), NOW)
+        assert isinstance(refusal, Refusal)
+        assert refusal.reason is Reason.CALLER_SHARE
+
+    def test_a_share_never_puts_a_booking_behind_a_lookup(self) -> None:
+        gate = make_gate(2)
+        fill(gate, CallClass.CRITICAL)
+        queue(gate, QUEUE_MIN, CallClass.NORMAL)
+        newcomer = admit(gate, arrival(CallClass.CRITICAL, "holder-0"), NOW)
+        assert isinstance(newcomer, Waiter)
+        assert newcomer.displaced is not None
+
+
+class TestRelease:
+    def test_a_ticket_counts_once(self) -> None:
+        gate = make_gate(1)
+        (ticket,) = fill(gate)
+        release(gate, ticket, 0.1, True, NOW)
+        release(gate, ticket, 0.1, True, NOW)
+        assert gate.in_flight == 0
+
+    def test_an_abandoned_waiter_is_not_granted(self) -> None:
+        gate = make_gate(1)
+        (ticket,) = fill(gate)
+        first, second = queue(gate, 2, CallClass.NORMAL)
+        assert abandon(gate, first, NOW) == []
+        assert release(gate, ticket, 0.1, True, NOW) == [second]
+
+    def test_a_slot_granted_to_one_that_left_goes_to_the_next(self) -> None:
+        gate = make_gate(1)
+        (ticket,) = fill(gate)
+        first, second = queue(gate, 2, CallClass.NORMAL)
+        release(gate, ticket, 0.1, True, NOW)
+        assert abandon(gate, first, NOW) == [second]
+        assert gate.in_flight == 1
+
+
+class TestPressure:
+    def overload(self, gate: Gate, per_period: int, periods: int) -> list[Refusal]:
+        refusals = []
+        for step in range(per_period * periods):
+            now = NOW + 0.5 * step / per_period
+            decision = admit(gate, arrival(CallClass.SHEDDABLE, f"shop-{step}"), now)
+            displaced = decision.displaced if isinstance(decision, Waiter) else None
+            refusal = decision if displaced is None else displaced.decision
+            if isinstance(refusal, Refusal):
+                refusals.append(refusal)
+        return refusals
+
+    def test_retry_after_grows_with_pressure(self) -> None:
+        gate = make_gate(1)
+        fill(gate)
+        refusals = self.overload(gate, 40, 10)
+        first = sum(refusal.retry_after_s for refusal in refusals[:20])
+        last = sum(refusal.retry_after_s for refusal in refusals[-20:])
+        assert last > 4 * first
+
+    def test_lesser_classes_are_asked_to_wait_longer(self) -> None:
+        gate = make_gate(1)
+        waits_s = [
+            sum(gate.shedding.retry_after_s(call_class.rank) for _ in range(50))
+            for call_class in CallClass
+        ]
+        assert waits_s == sorted(waits_s)
+        assert waits_s[0] < waits_s[-1]
+
+    def test_a_class_that_is_not_served_is_reported_and_opens_again(self) -> None:
+        gate = make_gate(1)
+        (ticket,) = fill(gate)
+        assert load(gate).admitted_rank == CallClass.SHEDDABLE.rank
+        self.overload(gate, 40, 4)
+        assert load(gate).admitted_rank < CallClass.SHEDDABLE.rank
+        for waiter in list(gate.line):
+            abandon(gate, waiter, NOW)
+        release(gate, ticket, 0.1, True, NOW)
+        for step in range(1, 10):
+            expire(gate, NOW + 3.0 + step)
+        assert load(gate).admitted_rank == CallClass.SHEDDABLE.rank
+
+    def test_critical_is_never_reported_as_shed(self) -> None:
+        gate = make_gate(1)
+        fill(gate)
+        for step in range(400):
+            call_class = list(CallClass)[step % 3]
+            admit(gate, arrival(call_class, f"shop-{step}"), NOW + step / 50)
+        assert load(gate).admitted_rank >= CallClass.CRITICAL.rank
+
+
+class TestTarget:
+    def test_more_slots_are_filled_at_the_next_expiry(self) -> None:
+        gate = make_gate(1)
+        fill(gate)
+        waiters = queue(gate, 2, CallClass.NORMAL)
+        set_slots(gate, 3)
+        assert expire(gate, NOW) == waiters
+        assert load(gate).in_flight == 3
+
+    def test_a_cold_target_begins_with_a_part_of_its_slots(self) -> None:
+        gate = make_gate(20)
+        resume(gate, NOW)
+        assert load(gate).limit == 5
+
+    def test_load_tells_limit_running_and_queued(self) -> None:
+        gate = make_gate(2)
+        fill(gate)
+        queue(gate, 3, CallClass.NORMAL)
+        report = load(gate)
+        assert (report.in_flight, report.limit, report.queued) == (2, 2, 3)
