--- a/src/pollenbay/commands/routing.py
+++ b/src/pollenbay/commands/routing.py
@@ -10,6 +10,7 @@
 
 CANDIDATES_VALID_S = 1.0
 LATENCY_WEIGHT = 0.2
+TYPICAL_WEIGHT = 0.05
 SUCCESS_WEIGHT = 0.2
 REFUSED_WEIGHT = 0.2
 EJECT_AFTER_FAILURES = 5
@@ -71,6 +72,7 @@
     score.measured_at = now
     if result is AttemptResult.ANSWERED:
         _note_answer(score, latency_s)
+        _note_typical(scores, member.service, latency_s)
     elif result in FAULTS:
         _note_fault(scores, member, score, latency_s, now)
     else:
@@ -117,6 +119,11 @@
         score.ejections = 0
 
 
+def _note_typical(scores: Scores, service: ServiceName, latency_s: float) -> None:
+    known_s = scores.typical_s.get(service, latency_s)
+    scores.typical_s[service] = known_s + TYPICAL_WEIGHT * (latency_s - known_s)
+
+
 def _note_fault(scores: Scores, member: Member, score: Score, latency_s: float, now: float) -> None:
     score.failures += 1
     score.success -= SUCCESS_WEIGHT * score.success
--- a/src/pollenbay/queries/routing.py
+++ b/src/pollenbay/queries/routing.py
@@ -11,7 +11,10 @@
 SLOW_START_PART = 0.1
 #: What is not measured again loses half of its weight in this time, so that it is tried again.
 HALF_LIFE_S = 3.0
+#: Latency of a service of which nothing has been measured.
 UNKNOWN_LATENCY_S = 0.001
+#: A target in another zone is taken only below this part of the cost of the near one.
+FARTHER_PART = 0.8
 #: Success and acceptance count no less than this in the cost.
 MIN_PART = 0.1
 #: What a fully loaded report adds to the cost.
@@ -44,12 +47,15 @@
     return first or _fallback(view, scores, candidates, excluded, now)
 
 
-def cost(member: Member, score: Score | None, now: float) -> float:
-    """Return the expected cost of one more attempt, in seconds of weighted latency."""
+def cost(member: Member, score: Score | None, typical_s: float, now: float) -> float:
+    """Return the expected cost of one more attempt, in seconds of weighted latency.
+
+    :param typical_s: latency of the service, for a target that has not been measured.
+    """
     if score is None or score.incarnation != member.incarnation:
-        return UNKNOWN_LATENCY_S * _report_factor(member, now) / _warmth(member, now)
+        return typical_s * _report_factor(member, now) / _warmth(member, now)
     age = 0.5 ** ((now - score.measured_at) / HALF_LIFE_S)
-    latency_s = score.latency_s * age if score.latency_s else UNKNOWN_LATENCY_S
+    latency_s = score.latency_s * age if score.latency_s else typical_s
     parts = max(1.0 - (1.0 - score.success) * age, MIN_PART)
     parts *= max(1.0 - score.refused * age, MIN_PART)
     own_cost = (score.outstanding + 1) * latency_s / (parts * _warmth(member, now))
@@ -101,8 +107,11 @@
         return second
     if due_for_probe(first_score, now):
         return first
-    first_cost = cost(first, first_score, now)
-    return first if first_cost <= cost(second, second_score, now) else second
+    typical_s = scores.typical_s.get(first.service, UNKNOWN_LATENCY_S)
+    first_cost = cost(first, first_score, typical_s, now)
+    second_cost = cost(second, second_score, typical_s, now)
+    part = 1.0 if first.place.zone == second.place.zone else FARTHER_PART
+    return second if second_cost < part * first_cost else first
 
 
 def _fallback(
--- a/src/pollenbay/score.py
+++ b/src/pollenbay/score.py
@@ -73,6 +73,7 @@
     def __init__(self) -> None:
         self._scores: dict[InstanceId, Score] = {}
         self._candidates: dict[tuple[ServiceName, HostId], Candidates] = {}
+        self._typical_s: dict[ServiceName, float] = {}
 
     @property
     def scores(self) -> dict[InstanceId, Score]:
@@ -84,6 +85,11 @@
         """Return the candidates by service and host of the origin."""
         return self._candidates
 
+    @property
+    def typical_s(self) -> dict[ServiceName, float]:
+        """Return the smoothed latency of each service in seconds."""
+        return self._typical_s
+
 
 def make_scores() -> Scores:
     """Return scores with nothing measured."""
--- /dev/null
+++ b/tests/test_limit.py
@@ -0,0 +1,136 @@
+"""Tests of the adaptive limit against a target that is always asked for all it can do."""
+
+from heapq import heappop, heappush
+from random import Random
+
+from pollenbay.limit import CEILING_PER_SLOT, Limit, make_limit
+
+SERVICE_S = 0.05
+RANK = 1
+SEED = 3
+
+
+class Target:
+    """Calls in flight at a target whose latency grows once all of its slots are taken."""
+
+    def __init__(self, limit: Limit, slots: int) -> None:
+        self.limit = limit
+        self.slots = slots
+        self.slowness = 1.0
+        self.fails = False
+        self._rng = Random(SEED)
+        self._running: list[tuple[float, float]] = []
+        self.now = 0.0
+        self.answers = 0
+
+    def run(self, seconds: float, used: float = 1.0) -> list[int]:
+        """Run on and return the limit after each call.
+
+        :param used: part of the limit that is in use.
+        """
+        end = self.now + seconds
+        values = []
+        self._fill(used)
+        while self._running[0][0] < end:
+            self.now, began_at = heappop(self._running)
+            in_flight = len(self._running) + 1
+            latency_s = self.now - began_at
+            self.limit.observe(RANK, latency_s, not self.fails, began_at, in_flight, self.now)
+            self.answers += 1
+            self._fill(used)
+            values.append(self.limit.value)
+        self.now = end
+        return values
+
+    def _fill(self, used: float) -> None:
+        while len(self._running) < max(int(self.limit.value * used), 1):
+            crowding = max((len(self._running) + 1) / self.slots, 1.0)
+            noise = self._rng.lognormvariate(-0.125, 0.5)
+            latency_s = SERVICE_S * self.slowness * crowding * noise
+            heappush(self._running, (self.now + latency_s, self.now))
+
+
+def settled(values: list[int]) -> float:
+    tail = values[len(values) * 2 // 3 :]
+    return sum(tail) / len(tail)
+
+
+class TestSearch:
+    def test_starts_at_the_announced_slots(self) -> None:
+        assert make_limit(20).value == 20
+
+    def test_keeps_slots_that_are_true(self) -> None:
+        assert 18 <= settled(Target(make_limit(20), 20).run(60.0)) <= 22
+
+    def test_finds_that_the_target_has_fewer_slots(self) -> None:
+        assert 17 <= settled(Target(make_limit(80), 20).run(60.0)) <= 25
+
+    def test_finds_that_the_target_has_more_slots(self) -> None:
+        assert 17 <= settled(Target(make_limit(8), 20).run(60.0)) <= 25
+
+    def test_loses_little_by_its_trials(self) -> None:
+        target = Target(make_limit(20), 20)
+        target.run(60.0)
+        assert target.answers >= 0.95 * 60.0 * 20 / SERVICE_S
+
+
+class TestBounds:
+    def test_never_under_one(self) -> None:
+        values = Target(make_limit(1), 1).run(60.0)
+        assert min(values) == 1
+        assert make_limit(0).value == 1
+
+    def test_never_past_its_ceiling(self) -> None:
+        values = Target(make_limit(5), 1000).run(120.0)
+        assert max(values) == 5 * CEILING_PER_SLOT
+
+    def test_does_not_move_while_it_is_not_in_use(self) -> None:
+        assert set(Target(make_limit(20), 4).run(30.0, used=0.5)) == {20}
+
+
+class TestChange:
+    def test_recovers_after_the_target_was_slow_for_30_s(self) -> None:
+        target = Target(make_limit(20), 20)
+        target.run(20.0)
+        target.slowness = 10.0
+        target.run(30.0)
+        target.slowness = 1.0
+        target.run(5.0)
+        answers = target.answers
+        target.run(5.0)
+        assert target.answers - answers >= 0.9 * 5.0 * 20 / SERVICE_S
+
+    def test_a_target_slow_by_itself_is_not_throttled_for_long(self) -> None:
+        target = Target(make_limit(20), 20)
+        target.run(20.0)
+        target.slowness = 10.0
+        values = target.run(30.0)
+        assert min(values) >= 8
+        assert settled(values) >= 16
+
+    def test_slots_lost_while_running_are_noticed(self) -> None:
+        target = Target(make_limit(20), 20)
+        target.run(20.0)
+        target.slots = 8
+        assert settled(target.run(40.0)) <= 11
+
+    def test_quick_failures_do_not_raise_it(self) -> None:
+        target = Target(make_limit(10), 1000)
+        target.run(5.0)
+        before = target.limit.value
+        target.fails = True
+        target.slowness = 0.01
+        assert max(target.run(2.0)) <= before * 1.2
+
+    def test_other_slots_scale_it(self) -> None:
+        limit = make_limit(20)
+        limit.set_slots(10)
+        assert limit.value == 10
+        limit.set_slots(0)
+        assert limit.value == 1
+
+    def test_a_cold_target_is_filled_step_by_step(self) -> None:
+        limit = make_limit(20)
+        limit.start_cold(0.0)
+        assert limit.value == 5
+        assert settled(Target(limit, 20).run(60.0)) >= 16
