--- a/src/pollenbay/limit.py
+++ b/src/pollenbay/limit.py
@@ -40,6 +40,7 @@
 SATURATED_PART = 0.8
 #: More concurrency is not kept if more than this part of the calls failed.
 FAILURES_PART = 0.05
+FAILURES_MIN = 10
 PAUSE_MIN_S = 1.0
 PAUSE_MAX_S = 16.0
 REFERENCE_WEIGHT = 0.5
@@ -148,7 +149,7 @@
         if in_flight > window.peak:
             window.peak = in_flight
         if not ok and latency_s <= self._means_s[rank]:
-            window.failures += 1
+            self._count_failure(admitted_at, now)
             return
         self._smooth(rank, latency_s, now)
         if admitted_at < window.started_at:
@@ -166,6 +167,18 @@
     def _bounded(self, value: float) -> float:
         return min(max(value, MIN_LIMIT), self.ceiling)
 
+    def _count_failure(self, admitted_at: float, now: float) -> None:
+        window = self._window
+        if admitted_at < window.started_at:
+            return
+        window.failures += 1
+        if self._phase is Phase.MORE and self._has_failed():
+            self._undo_trial(now)
+
+    def _has_failed(self) -> bool:
+        window = self._window
+        return window.failures > max(FAILURES_PART * window.samples, FAILURES_MIN)
+
     def _smooth(self, rank: int, latency_s: float, now: float) -> None:
         mean_s = self._means_s[rank]
         weight = LATENCY_WEIGHT if mean_s else 1.0
@@ -243,11 +256,15 @@
             self._next_phase = phase
             self._pause_s = PAUSE_MIN_S
             self._next_trial_at = now
+            self._open_window(Phase.HOLD, now)
         else:
-            self._keep(self._held)
-            self._next_phase = Phase.MORE if phase is Phase.LESS else Phase.LESS
-            self._next_trial_at = now + self._pause_s
-            self._pause_s = min(self._pause_s * 2.0, PAUSE_MAX_S)
+            self._undo_trial(now)
+
+    def _undo_trial(self, now: float) -> None:
+        self._keep(self._held)
+        self._next_phase = Phase.MORE if self._phase is Phase.LESS else Phase.LESS
+        self._next_trial_at = now + self._pause_s
+        self._pause_s = min(self._pause_s * 2.0, PAUSE_MAX_S)
         self._open_window(Phase.HOLD, now)
 
     def _is_kept(self, phase: Phase, elasticity: float) -> bool:
@@ -255,8 +272,7 @@
             return False
         if phase is Phase.LESS:
             return elasticity > KNEE_ELASTICITY
-        failed = self._window.failures > FAILURES_PART * self._window.samples
-        return elasticity < KNEE_ELASTICITY and not failed
+        return elasticity < KNEE_ELASTICITY and not self._has_failed()
 
     def _keep(self, value: float) -> None:
         self._held = self._value = value
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,10 +1,11 @@
 """Tests of the decisions at the gate, one feature each."""
 
 from pollenbay.commands.admission import abandon, admit, expire, release, resume, set_slots
-from pollenbay.gate import QUEUE_MIN, Arrival, Gate, Refusal, Ticket, Waiter, make_gate
+from pollenbay.gate import QUEUE_MAX, QUEUE_MIN, Arrival, Gate, Refusal, Ticket, Waiter, make_gate
 from pollenbay.ids import CallerId
 from pollenbay.queries.admission import LATENCY_VALID_S, load
 from pollenbay.states import CallClass, Reason
+from pollenbay.waiting import NEWEST_FIRST_AFTER_S
 
 NOW = 50.0
 
@@ -64,6 +65,15 @@
         assert isinstance(refusal, Refusal)
         assert refusal.reason is Reason.OVERLOAD
 
+    def test_however_long_the_queue_has_been_busy_no_lesser_class_takes_a_place(self) -> None:
+        gate = make_gate(1)
+        fill(gate)
+        queue(gate, QUEUE_MIN, CallClass.CRITICAL)
+        later = NOW + 2 * NEWEST_FIRST_AFTER_S
+        assert isinstance(admit(gate, arrival(CallClass.SHEDDABLE, "poller"), later), Refusal)
+        newest = admit(gate, arrival(CallClass.CRITICAL, "mill"), later)
+        assert isinstance(newest, Waiter) and newest.displaced is not None
+
     def test_no_critical_is_refused_while_a_lesser_class_waits(self) -> None:
         gate = make_gate(2)
         fill(gate, CallClass.SHEDDABLE)
@@ -208,7 +218,7 @@
             for call_class in CallClass
         ]
         assert waits_s == sorted(waits_s)
-        assert waits_s[0] < waits_s[-1]
+        assert 2 * waits_s[0] < waits_s[-1]
 
     def test_a_class_that_is_not_served_is_reported_and_opens_again(self) -> None:
         gate = make_gate(1)
@@ -241,6 +251,16 @@
         assert expire(gate, NOW) == waiters
         assert load(gate).in_flight == 3
 
+    def test_a_newcomer_does_not_overtake_the_queue_at_a_slot_just_won(self) -> None:
+        gate = make_gate(1)
+        fill(gate)
+        queue(gate, 1, CallClass.NORMAL)
+        set_slots(gate, 3)
+        assert isinstance(admit(gate, arrival(caller="late"), NOW), Waiter)
+
+    def test_the_queue_is_bounded_however_many_slots(self) -> None:
+        assert make_gate(100_000).queue_bound == QUEUE_MAX
+
     def test_a_cold_target_begins_with_a_part_of_its_slots(self) -> None:
         gate = make_gate(20)
         resume(gate, NOW)
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -40,6 +40,7 @@
         decision = admit(self.gate, arrival, self.now)
         if isinstance(decision, Ticket):
             assert in_flight < self.gate.limit.value
+            assert not self.waiters
             assert wait_s > 0.0
             self.tickets.append(decision)
         elif isinstance(decision, Waiter):
--- a/tests/test_limit.py
+++ b/tests/test_limit.py
@@ -2,10 +2,12 @@
 
 from heapq import heappop, heappush
 from random import Random
+from statistics import median
 
 from pollenbay.limit import CEILING_PER_SLOT, Limit, make_limit
 
 SERVICE_S = 0.05
+REFUSAL_S = 0.0002
 RANK = 1
 SEED = 3
 
@@ -18,6 +20,7 @@
         self.slots = slots
         self.slowness = 1.0
         self.fails = False
+        self.refuses_past = 10**9
         self._rng = Random(SEED)
         self._running: list[tuple[float, float]] = []
         self.now = 0.0
@@ -35,7 +38,8 @@
             self.now, began_at = heappop(self._running)
             in_flight = len(self._running) + 1
             latency_s = self.now - began_at
-            self.limit.observe(RANK, latency_s, not self.fails, began_at, in_flight, self.now)
+            ok = not self.fails and latency_s > REFUSAL_S
+            self.limit.observe(RANK, latency_s, ok, began_at, in_flight, self.now)
             self.answers += 1
             self._fill(used)
             values.append(self.limit.value)
@@ -47,6 +51,8 @@
             crowding = max((len(self._running) + 1) / self.slots, 1.0)
             noise = self._rng.lognormvariate(-0.125, 0.5)
             latency_s = SERVICE_S * self.slowness * crowding * noise
+            if sum(end - began > REFUSAL_S for end, began in self._running) >= self.refuses_past:
+                latency_s = REFUSAL_S
             heappush(self._running, (self.now + latency_s, self.now))
 
 
@@ -120,7 +126,24 @@
         before = target.limit.value
         target.fails = True
         target.slowness = 0.01
-        assert max(target.run(2.0)) <= before * 1.2
+        assert set(target.run(10.0)) == {before}
+
+    def test_a_target_that_refuses_what_is_too_much_is_not_pressed(self) -> None:
+        target = Target(make_limit(20), 1000)
+        target.refuses_past = 25
+        values = [target.run(1.0)[-1] for _ in range(30)]
+        assert median(values[10:]) <= 25
+
+    def test_a_target_that_gets_faster_during_a_trial_does_not_raise_it(self) -> None:
+        target = Target(make_limit(20), 20)
+        target.run(30.0)
+        before = target.limit.value
+        while target.limit.value <= before:
+            before = target.limit.value
+            target.run(0.01)
+        target.slowness = 0.1
+        target.run(1.0)
+        assert target.limit.value <= before
 
     def test_other_slots_scale_it(self) -> None:
         limit = make_limit(20)
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -240,6 +240,17 @@
         assert not take_retry(account, budget, CallClass.NORMAL, 0.0)
         assert account.left == 1
 
+    def test_a_request_without_allowance_costs_the_budget_nothing(self) -> None:
+        budget = make_retry_budget()
+        assert not take_retry(make_account(0, DEADLINE), budget, CallClass.NORMAL, 0.0)
+        assert budget.left(CallClass.NORMAL) == BURST_RETRIES
+
+    def test_what_is_saved_up_is_bounded(self) -> None:
+        budget = make_retry_budget()
+        for second in range(10_000):
+            note_first(budget, CallClass.NORMAL, float(second))
+        assert budget.left(CallClass.NORMAL) == BURST_RETRIES
+
     def test_one_class_does_not_spend_for_another(self) -> None:
         budget = make_retry_budget()
         while budget.spend(CallClass.SHEDDABLE):
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -149,6 +149,13 @@
     def test_near_members_get_the_calls_while_they_are_as_good(self) -> None:
         assert set(World(8, zones=4).picks(400)) == {"stock-0", "stock-4"}
 
+    def test_a_little_latency_does_not_send_calls_to_another_zone(self) -> None:
+        world = World(4, zones=4)
+        for index in range(4):
+            world.attempt(world.member(index), latency_s=0.9 * LATENCY_S if index else LATENCY_S)
+        picked = {member.instance for member in (world.pick() for _ in range(50)) if member}
+        assert picked == {"stock-0"}
+
     def test_calls_spill_to_other_zones_when_near_members_are_busy(self) -> None:
         world = World(8, zones=4)
         world.picks(50)
@@ -255,6 +262,7 @@
         for _ in range(10):
             world.attempt(world.member(0))
             world.fail(world.member(0), 4)
+        assert world.scores.scores[InstanceId("stock-0")].ejections > 0
         assert "stock-0" not in world.picks(100)
 
     def test_not_all_are_ejected_at_once(self) -> None:
