--- /dev/null
+++ b/src/pollenbay/commands/serving.py
@@ -0,0 +1,187 @@
+"""Serving a call on the target beside this node: admission, claim, sending, outcome."""
+
+from dataclasses import replace
+from functools import singledispatch
+
+from curio import TaskTimeout, timeout_after
+
+from pollenbay.account import Account, make_account
+from pollenbay.call import Call, Passage
+from pollenbay.claim import Claim, ClaimRequest, fingerprint_of
+from pollenbay.commands.admission import abandon, admit, release
+from pollenbay.commands.claim import abandon_claim, record_answer, release_claim, take_claim
+from pollenbay.contexts import Context
+from pollenbay.gate import Arrival, Refusal, Ticket, Waiter
+from pollenbay.http1 import HttpClient
+from pollenbay.ids import ContextKey
+from pollenbay.ledger import Ledger
+from pollenbay.node import Node
+from pollenbay.outcome import Answered, NotRun, Outcome, Unknown
+from pollenbay.queries.rules import find_call
+from pollenbay.rule import CallRule
+from pollenbay.states import NodeState, Reason, TargetState
+from pollenbay.target import TargetAnswerError, TargetConnectError
+
+RETRY_AFTER_S = 1.0
+#: How long past its deadline the answer of a non-idempotent call is still awaited and recorded.
+RECORD_GRACE_S = 10.0
+STATUS_SERVER_ERROR = 500
+
+
+async def serve(node: Node, call: Call, allowance: int, passage: Passage) -> Outcome:
+    """Run a call on the target beside this node.
+
+    :param allowance: retries handed out for what the target calls in turn.
+    :param passage: tells the watch whether the call may still be given up.
+    """
+    rule = find_call(node.rulebook, call.service, call.name)
+    reason = _reason_to_refuse(node, call, rule)
+    if reason is not None:
+        return _refuse(node, call, NotRun(reason, RETRY_AFTER_S, allowance))
+    verdict = await _enter(node, call, rule)
+    if isinstance(verdict, Refusal):
+        return _refuse(node, call, NotRun(verdict.reason, verdict.retry_after_s, allowance))
+    return await _serve_admitted(node, call, rule, allowance, passage, verdict)
+
+
+def _reason_to_refuse(node: Node, call: Call, rule: CallRule | None) -> Reason | None:
+    if rule is None or call.service != node.settings.service:
+        return Reason.UNKNOWN_CALL
+    if node.refusing or node.state is NodeState.STOPPED:
+        return Reason.DRAINING
+    if node.target.state is not TargetState.SERVING:
+        return Reason.NOT_READY
+    if node.timer.now() >= call.deadline:
+        return Reason.DEADLINE
+    return None
+
+
+def _refuse(node: Node, call: Call, refusal: NotRun) -> NotRun:
+    node.metrics.note_refusal(call.call_class, refusal.reason)
+    return refusal
+
+
+async def _enter(node: Node, call: Call, rule: CallRule) -> Ticket | Refusal:
+    now = node.timer.now()
+    verdict = admit(node.gate, Arrival(call.call_class, call.caller, call.deadline, now), now)
+    if not isinstance(verdict, Waiter):
+        return verdict
+    if verdict.displaced is not None:
+        await wake([verdict.displaced])
+    try:
+        await timeout_after(call.deadline - now, verdict.event.wait)
+    except TaskTimeout:
+        await wake(abandon(node.gate, verdict, node.timer.now()))
+        return Refusal(Reason.QUEUE_TIMEOUT, RETRY_AFTER_S)
+    except BaseException:
+        await wake(abandon(node.gate, verdict, node.timer.now()))
+        raise
+    node.metrics.note_queue(call.call_class, node.timer.now() - now)
+    return verdict.decision
+
+
+async def wake(waiters: list[Waiter]) -> None:
+    """Wake the tasks of waiters that have just been granted or refused a slot."""
+    for waiter in waiters:
+        await waiter.event.set()
+
+
+async def _serve_admitted(
+    node: Node, call: Call, rule: CallRule, allowance: int, passage: Passage, ticket: Ticket
+) -> Outcome:
+    started_at = node.timer.now()
+    sound = False
+    try:
+        outcome = await _run(node, call, rule, allowance, passage)
+        sound = _is_sound(outcome)
+        return outcome
+    finally:
+        now = node.timer.now()
+        node.metrics.note_target(call.call_class, now - started_at)
+        await wake(release(node.gate, ticket, now - started_at, sound, now))
+
+
+def _is_sound(outcome: Outcome) -> bool:
+    return isinstance(outcome, Answered) and outcome.status < STATUS_SERVER_ERROR
+
+
+async def _run(node: Node, call: Call, rule: CallRule, allowance: int, passage: Passage) -> Outcome:
+    if rule.idempotent or call.idempotency_key is None:
+        return await _send(node, call, rule, allowance, passage)
+    passage.cancellable = False
+    claim = await take_claim(node.ledger, _claim_request(node, call))
+    if not isinstance(claim, Claim):
+        return replace(claim, allowance_left=allowance)
+    outcome: Outcome = Unknown(Reason.CANCELLED)
+    try:
+        outcome = await _send(node, call, rule, allowance, passage)
+    finally:
+        await settle_claim(outcome, node.ledger, claim)
+    return outcome
+
+
+def _claim_request(node: Node, call: Call) -> ClaimRequest:
+    return ClaimRequest(
+        service=call.service,
+        call=call.name,
+        caller=call.caller,
+        key=call.idempotency_key,
+        fingerprint=fingerprint_of(call.service, call.name, call.method, call.path, call.body),
+        deadline_epoch_s=node.timer.epoch() + call.deadline - node.timer.now(),
+    )
+
+
+@singledispatch
+async def settle_claim(outcome: Outcome, ledger: Ledger, claim: Claim) -> None:
+    """Write down how a claimed call ended; an unknown outcome leaves the claim as it is."""
+    abandon_claim(ledger, claim)
+
+
+@settle_claim.register
+async def _(outcome: Answered, ledger: Ledger, claim: Claim) -> None:
+    await record_answer(ledger, claim, outcome)
+
+
+@settle_claim.register
+async def _(outcome: NotRun, ledger: Ledger, claim: Claim) -> None:
+    await release_claim(ledger, claim)
+
+
+async def _send(
+    node: Node, call: Call, rule: CallRule, allowance: int, passage: Passage
+) -> Outcome:
+    try:
+        client = await node.target.connect()
+    except TargetConnectError as error:
+        return _refuse(node, call, NotRun(error.reason, RETRY_AFTER_S, allowance))
+    account = make_account(allowance, call.deadline)
+    key = node.contexts.open(
+        Context(call.request, call.call_class, call.caller, account, call.deadline, call.depth)
+    )
+    try:
+        return await _exchange(node, call, rule, account, passage, client, key)
+    finally:
+        node.contexts.close(key)
+
+
+async def _exchange(
+    node: Node,
+    call: Call,
+    rule: CallRule,
+    account: Account,
+    passage: Passage,
+    client: HttpClient,
+    key: ContextKey,
+) -> Outcome:
+    time_left_s = call.deadline - node.timer.now()
+    if time_left_s <= 0:
+        await node.target.keep(client)
+        return _refuse(node, call, NotRun(Reason.DEADLINE, 0.0, account.left))
+    passage.cancellable = rule.idempotent
+    passage.sent = True
+    limit_s = time_left_s if rule.idempotent else time_left_s + RECORD_GRACE_S
+    try:
+        return await node.target.run(client, call, key, account, time_left_s, limit_s)
+    except TargetAnswerError as error:
+        node.metrics.note_unknown(error.reason)
+        return Unknown(error.reason, account.left)
