--- a/src/pollenbay/commands/publication.py
+++ b/src/pollenbay/commands/publication.py
@@ -9,13 +9,13 @@
 
 from functools import singledispatch
 from time import time
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
-from msgspec import Struct
+from msgspec import Meta, Struct
 from result import Err, Ok
 
-from pollenbay.commands.adoption import adopt
 from pollenbay.commands.dispatch import execute
+from pollenbay.commands.pulling import adopt_rules
 from pollenbay.commands.settlement import (
     ABSENT,
     ATTEMPTS,
@@ -64,6 +64,7 @@
 
 __all__ = ["Publish", "publish", "read_current"]
 
+AUTHOR_LETTERS_MAX = 100
 HISTORY_KEPT_VERSIONS = 100_000
 #: Well above the time for which a publication can be settled.
 RECORD_KEPT_S = 3 * 86_400
@@ -79,7 +80,7 @@
     """
 
     services: tuple[ServiceRule, ...]
-    author: OperatorId
+    author: Annotated[OperatorId, Meta(min_length=1, max_length=AUTHOR_LETTERS_MAX)]
     publication: PublicationId | None = None
     expected_version: RuleVersion | None = None
 
@@ -98,7 +99,7 @@
 async def _adopt_current(node: Node) -> None:
     result = await read_current(node.table)
     if isinstance(result, Ok) and result.ok_value is not None:
-        adopt(node.rulebook, result.ok_value, time())
+        await adopt_rules(node.membership, result.ok_value)
 
 
 async def publish(table: Table, command: Publish, now_epoch: float) -> PublicationOutcome:
--- a/src/pollenbay/daemon.py
+++ b/src/pollenbay/daemon.py
@@ -13,9 +13,9 @@
 from curio.io import Socket
 from msgspec import Struct
 from msgspec.json import encode
-from pollenbay.admin import serve_admin
 from result import Err
 
+from pollenbay.admin import serve_admin
 from pollenbay.callers import make_callers, serve_target
 from pollenbay.commands.adoption import adopt
 from pollenbay.commands.gossiping import run_membership
--- /dev/null
+++ b/src/pollenbay/endpoint.py
@@ -0,0 +1,142 @@
+"""Paths of the administration API: each turns an HTTP request into a typed command or query."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import TypeVar
+from urllib.parse import parse_qs, urlsplit
+
+from msgspec import DecodeError, Struct, ValidationError
+from msgspec.json import decode
+from result import Err, Ok, Result
+
+from pollenbay.commands.life import Drain
+from pollenbay.commands.publication import Publish
+from pollenbay.commands.settlement import Settle
+from pollenbay.http1 import HttpRequest
+from pollenbay.queries.health import ShowHealth, ShowMetrics, ShowReadiness
+from pollenbay.queries.history import HISTORY_DEFAULT_ENTRIES, HISTORY_MAX_ENTRIES, ShowHistory
+from pollenbay.queries.rules import ShowRules
+from pollenbay.queries.status import ShowMembers, ShowStatus
+
+_Body = TypeVar("_Body")
+
+
+class EndpointError(Exception):
+    """Root of the errors of this layer; the text tells the client what is expected."""
+
+
+class UnknownPathError(EndpointError):
+    """No endpoint has this path."""
+
+
+class WrongMethodError(EndpointError):
+    """The path has another method.
+
+    :param allowed: the method that it has.
+    """
+
+    def __init__(self, allowed: bytes) -> None:
+        super().__init__(f"expected method {allowed.decode('ascii')}")
+        self.allowed = allowed
+
+
+class BadRequestError(EndpointError):
+    """The query string or the body is not what is expected."""
+
+
+class Kind(Enum):
+    """Whether an endpoint changes state."""
+
+    COMMAND = "command"
+    QUERY = "query"
+
+
+@dataclass(frozen=True, slots=True)
+class Endpoint:
+    """One path of the API.
+
+    :param guarded: whether a token is needed.
+    :param read: makes the command or query of a request.
+    :raises BadRequestError: from `read`.
+    """
+
+    method: bytes
+    kind: Kind
+    guarded: bool
+    read: Callable[[HttpRequest], object]
+
+
+class _NoBody(Struct, frozen=True, forbid_unknown_fields=True):
+    """Body of a request that says nothing."""
+
+
+def find_endpoint(request: HttpRequest) -> Result[Endpoint, UnknownPathError | WrongMethodError]:
+    """Return the endpoint of a request."""
+    path = _path(request)
+    endpoint = _ENDPOINTS.get(path)
+    if endpoint is None:
+        return Err(UnknownPathError(f"no such path; expected one of {', '.join(_ENDPOINTS)}"))
+    if request.method != endpoint.method:
+        return Err(WrongMethodError(endpoint.method))
+    return Ok(endpoint)
+
+
+def _path(request: HttpRequest) -> str:
+    return request.target.decode("latin-1").partition("?")[0]
+
+
+def _read_history(request: HttpRequest) -> ShowHistory:
+    query = urlsplit(request.target.decode("latin-1")).query
+    values = parse_qs(query, keep_blank_values=True)
+    unknown = sorted(values.keys() - {"limit"})
+    if unknown:
+        raise BadRequestError(f"unknown parameter {unknown[0]!r}, expected limit")
+    text = values.get("limit", [str(HISTORY_DEFAULT_ENTRIES)])[-1]
+    if not (text.isascii() and text.isdigit() and len(text) <= len(str(HISTORY_MAX_ENTRIES))):
+        raise BadRequestError(f"expected limit from 1 to {HISTORY_MAX_ENTRIES}, got {text!r}")
+    if not 1 <= int(text) <= HISTORY_MAX_ENTRIES:
+        raise BadRequestError(f"expected limit from 1 to {HISTORY_MAX_ENTRIES}, got {text}")
+    return ShowHistory(int(text))
+
+
+def _read_publish(request: HttpRequest) -> Publish:
+    return _decode_body(request.body, Publish)
+
+
+def _read_settle(request: HttpRequest) -> Settle:
+    return _decode_body(request.body, Settle)
+
+
+def _read_drain(request: HttpRequest) -> Drain:
+    _decode_body(request.body or b"{}", _NoBody)
+    return Drain()
+
+
+def _decode_body(body: bytes, kind: type[_Body]) -> _Body:
+    try:
+        return decode(body, type=kind)
+    except (DecodeError, ValidationError, RecursionError) as error:
+        raise BadRequestError(f"the body is not what is expected: {error}") from error
+
+
+def _query(make: Callable[[], object], guarded: bool = True) -> Endpoint:
+    return Endpoint(b"GET", Kind.QUERY, guarded, lambda request: make())
+
+
+def _command(read: Callable[[HttpRequest], object]) -> Endpoint:
+    return Endpoint(b"POST", Kind.COMMAND, True, read)
+
+
+_ENDPOINTS: dict[str, Endpoint] = {
+    "/healthz": _query(ShowHealth, guarded=False),
+    "/readyz": _query(ShowReadiness, guarded=False),
+    "/metrics": _query(ShowMetrics, guarded=False),
+    "/v1/status": _query(ShowStatus),
+    "/v1/members": _query(ShowMembers),
+    "/v1/rules": _query(ShowRules),
+    "/v1/history": Endpoint(b"GET", Kind.QUERY, True, _read_history),
+    "/v1/publish": _command(_read_publish),
+    "/v1/settle": _command(_read_settle),
+    "/v1/drain": _command(_read_drain),
+}
--- /dev/null
+++ b/src/pollenbay/printout.py
@@ -0,0 +1,257 @@
+"""What the command-line tool prints and its exit code, by the type of the result."""
+
+from datetime import UTC, datetime
+from enum import IntEnum
+from functools import singledispatch
+
+from msgspec import Struct, to_builtins
+from msgspec.json import encode, format
+from yaml import safe_dump
+
+from pollenbay.adminclient import AdminAddressError, AdminClientError, AdminTokenError
+from pollenbay.commands.life import DrainBegun
+from pollenbay.finding import Finding
+from pollenbay.publication import Accepted, Invalid, NotWritten, Refused, Unsettled
+from pollenbay.publishing import PublishReport
+from pollenbay.queries.check import errors_of
+from pollenbay.queries.history import History
+from pollenbay.queries.rules import ShownRules
+from pollenbay.queries.status import MemberStatus, Status
+from pollenbay.rule import RuleSet
+from pollenbay.rulefile import RuleFileError
+
+DIGEST_LETTERS_SHOWN = 12
+JSON_INDENT = 2
+
+
+class ExitCode(IntEnum):
+    """Exit codes of the tool."""
+
+    DONE = 0
+    REFUSED = 1
+    BAD_INPUT = 2
+    UNREACHABLE = 3
+    UNSETTLED = 4
+    NOT_IN_FORCE = 5
+
+
+class CheckReport(Struct, frozen=True):
+    """Result of checking rule files.
+
+    :param files: how many were read.
+    """
+
+    files: int
+    findings: tuple[Finding, ...]
+
+
+class UnreadFiles(Struct, frozen=True):
+    """Rule files that could not be read, each with file, line, key and what is expected."""
+
+    errors: tuple[str, ...]
+
+
+class Failure(Struct, frozen=True):
+    """Why the node did not do what was asked."""
+
+    error: str
+
+
+class ToolVersion(Struct, frozen=True):
+    """Version of the tool."""
+
+    version: str
+
+
+def make_unread_files(errors: list[RuleFileError]) -> UnreadFiles:
+    """Return what is printed of files that could not be read."""
+    return UnreadFiles(tuple(str(error) for error in errors))
+
+
+def as_json(value: object) -> str:
+    """Return the machine-readable form of a result."""
+    return format(encode(value), indent=JSON_INDENT).decode("utf-8")
+
+
+@singledispatch
+def as_text(value: object) -> str:
+    """Return the form of a result for people."""
+    raise TypeError(f"nothing to print: {type(value).__name__}")
+
+
+@singledispatch
+def exit_code(value: object) -> ExitCode:
+    """Return the exit code that a result stands for; 0 unless its type says otherwise."""
+    return ExitCode.DONE
+
+
+@as_text.register
+def _(value: CheckReport) -> str:
+    errors = len(errors_of(value.findings))
+    warnings = len(value.findings) - errors
+    total = f"{value.files} rule files: {errors} errors, {warnings} warnings"
+    return "\n".join([*map(as_text, value.findings), total])
+
+
+@exit_code.register
+def _(value: CheckReport) -> ExitCode:
+    return ExitCode.REFUSED if errors_of(value.findings) else ExitCode.DONE
+
+
+@as_text.register
+def _(value: Finding) -> str:
+    name = f"{value.service}.{value.call}" if value.call else value.service
+    place = f"{value.file}: {name}: {value.severity.value}"
+    return f"{place}: {value.message} [{value.kind.value}]"
+
+
+@as_text.register
+def _(value: UnreadFiles) -> str:
+    return "\n".join(value.errors)
+
+
+@exit_code.register
+def _(value: UnreadFiles) -> ExitCode:
+    return ExitCode.BAD_INPUT
+
+
+@as_text.register
+def _(value: PublishReport) -> str:
+    lines = [as_text(value.outcome)]
+    if value.rollout is not None:
+        lines.append(f"in force on {len(value.rollout.reached)} live instances")
+        lines += [f"not yet in force: {instance}" for instance in value.rollout.lagging]
+    return "\n".join(lines)
+
+
+@exit_code.register
+def _(value: PublishReport) -> ExitCode:
+    if value.rollout is not None and not value.rollout.complete:
+        return ExitCode.NOT_IN_FORCE
+    return exit_code(value.outcome)
+
+
+@as_text.register
+def _(value: Accepted) -> str:
+    note = "" if value.changed else " (the same rules were already published)"
+    return f"accepted: version {value.version}{note}"
+
+
+@as_text.register
+def _(value: Refused) -> str:
+    return f"refused: {value.message}"
+
+
+@exit_code.register
+def _(value: Refused) -> ExitCode:
+    return ExitCode.REFUSED
+
+
+@as_text.register
+def _(value: Invalid) -> str:
+    return "\n".join([*map(as_text, value.findings), "refused: the rules have errors"])
+
+
+@exit_code.register
+def _(value: Invalid) -> ExitCode:
+    return ExitCode.REFUSED
+
+
+@as_text.register
+def _(value: NotWritten) -> str:
+    return f"not published, nothing was written: {value.message}"
+
+
+@exit_code.register
+def _(value: NotWritten) -> ExitCode:
+    return ExitCode.UNREACHABLE
+
+
+@as_text.register
+def _(value: Unsettled) -> str:
+    return (
+        f"unsettled: it may have been published ({value.message})\n"
+        f"settle it with: pollenbay publish --settle {value.publication}"
+    )
+
+
+@exit_code.register
+def _(value: Unsettled) -> ExitCode:
+    return ExitCode.UNSETTLED
+
+
+@as_text.register
+def _(value: Status) -> str:
+    refused = sum(value.rules_refused.values())
+    lines = [
+        f"instance {value.instance}, incarnation {value.incarnation}, {value.state.value}",
+        f"rules: version {value.rule_version} since {_time(value.rule_adopted_at)},"
+        f" {refused} rule sets refused",
+    ]
+    if value.load is not None:
+        load = value.load
+        lines.append(f"load: {load.in_flight} of {load.limit} in flight, {load.queued} queued")
+    lines.append(f"{'instance':24} {'state':9} {'rules':>8} {'since':20} {'heard':>8}")
+    return "\n".join([*lines, *map(as_text, value.members)])
+
+
+@as_text.register
+def _(value: MemberStatus) -> str:
+    since, heard = _time(value.rule_since), f"{value.heard_ago_s:.1f} s"
+    return f"{value.instance:24} {value.state.value:9} {value.rule_version:>8} {since} {heard:>8}"
+
+
+@as_text.register
+def _(value: History) -> str:
+    lines = [f"{'version':>8} {'published':20} {'author':20} digest"]
+    for entry in value.entries:
+        digest = entry.digest[:DIGEST_LETTERS_SHOWN]
+        lines.append(f"{entry.version:>8} {_time(entry.published_at)} {entry.author:20} {digest}")
+    return "\n".join(lines)
+
+
+@as_text.register
+def _(value: ShownRules) -> str:
+    rules = value.rules
+    head = (
+        f"# version {rules.version} by {rules.author or 'nobody'},"
+        f" published {_time(rules.published_at)}, in force here since {_time(value.adopted_at)}"
+    )
+    return "\n".join([head, *_rule_texts(rules)])
+
+
+@as_text.register
+def _(value: DrainBegun) -> str:
+    return f"drain begun: {value.in_progress} requests in progress, {value.wait_s:g} s at most"
+
+
+@as_text.register
+def _(value: Failure) -> str:
+    return value.error
+
+
+@as_text.register
+def _(value: ToolVersion) -> str:
+    return f"pollenbay {value.version}"
+
+
+@exit_code.register
+def _(value: AdminClientError) -> ExitCode:
+    return ExitCode.UNREACHABLE
+
+
+@exit_code.register(AdminAddressError)
+@exit_code.register(AdminTokenError)
+def _(value: AdminClientError) -> ExitCode:
+    return ExitCode.BAD_INPUT
+
+
+def _rule_texts(rules: RuleSet) -> list[str]:
+    documents = [to_builtins(service) for service in rules.services]
+    return ["---\n" + safe_dump(document, sort_keys=False).rstrip() for document in documents]
+
+
+def _time(epoch_s: float) -> str:
+    if epoch_s <= 0:
+        return f"{'-':20}"
+    return datetime.fromtimestamp(epoch_s, UTC).strftime("%Y-%m-%dT%H:%M:%SZ")
--- /dev/null
+++ b/src/pollenbay/queries/health.py
@@ -0,0 +1,60 @@
+"""Whether a node lives, whether it is ready for calls, and what it has counted."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from msgspec import Struct
+from prometheus_client import generate_latest
+
+from pollenbay.queries.dispatch import answer
+from pollenbay.states import NodeState
+
+if TYPE_CHECKING:
+    from pollenbay.node import Node
+
+
+class ShowHealth(Struct, frozen=True):
+    """Does the node still answer? Answered by `Health`."""
+
+
+class ShowReadiness(Struct, frozen=True):
+    """May callers be sent here? Answered by `Readiness`."""
+
+
+class ShowMetrics(Struct, frozen=True):
+    """What has the node counted? Answered by `MetricsText`."""
+
+
+class Health(Struct, frozen=True):
+    """A node that answers."""
+
+    state: NodeState
+
+
+class Readiness(Struct, frozen=True):
+    """Whether a node takes calls."""
+
+    ready: bool
+    state: NodeState
+
+
+class MetricsText(Struct, frozen=True):
+    """Counters and histograms in the Prometheus text format."""
+
+    text: bytes
+
+
+@answer.register(ShowHealth)
+async def _show_health(query: ShowHealth, node: Node) -> Health:
+    return Health(node.state)
+
+
+@answer.register(ShowReadiness)
+async def _show_readiness(query: ShowReadiness, node: Node) -> Readiness:
+    return Readiness(node.state is NodeState.SERVING, node.state)
+
+
+@answer.register(ShowMetrics)
+async def _show_metrics(query: ShowMetrics, node: Node) -> MetricsText:
+    return MetricsText(generate_latest(node.metrics.registry))
--- a/src/pollenbay/queries/status.py
+++ b/src/pollenbay/queries/status.py
@@ -8,7 +8,7 @@
 
 from pollenbay.ids import Incarnation, InstanceId, RuleVersion, ServiceName, ZoneId
 from pollenbay.queries.dispatch import answer
-from pollenbay.states import MemberState, NodeState
+from pollenbay.states import AdoptionRefusal, MemberState, NodeState
 from pollenbay.view import Load, Member
 
 if TYPE_CHECKING:
@@ -50,6 +50,7 @@
     """One node.
 
     :param rule_adopted_at: seconds since the epoch; 0 before the first rules.
+    :param rules_refused: rule sets heard of and not put in force, by why.
     :param load: load of the target beside it; None while it has announced nothing.
     """
 
@@ -58,6 +59,7 @@
     state: NodeState
     rule_version: RuleVersion
     rule_adopted_at: float
+    rules_refused: dict[AdoptionRefusal, int]
     members: tuple[MemberStatus, ...]
     load: Load | None
 
@@ -71,6 +73,7 @@
         state=node.state,
         rule_version=node.rulebook.version,
         rule_adopted_at=node.rulebook.adopted_at,
+        rules_refused=node.rulebook.refusals,
         members=_member_statuses(node),
         load=None if own is None else own.load,
     )
@@ -84,7 +87,23 @@
 def _member_statuses(node: Node) -> tuple[MemberStatus, ...]:
     now = node.timer.now()
     members = sorted(node.view.members.values(), key=lambda member: member.instance)
-    return tuple(_member_status(member, now) for member in members)
+    own = node.settings.instance
+    return tuple(
+        _own_status(member, node) if member.instance == own else _member_status(member, now)
+        for member in members
+    )
+
+
+def _own_status(member: Member, node: Node) -> MemberStatus:
+    return MemberStatus(
+        instance=member.instance,
+        service=member.service,
+        zone=member.place.zone,
+        state=member.state,
+        rule_version=node.rulebook.version,
+        rule_since=node.rulebook.adopted_at,
+        heard_ago_s=0.0,
+    )
 
 
 def _member_status(member: Member, now: float) -> MemberStatus:
--- /dev/null
+++ b/src/pollenbay/reply.py
@@ -0,0 +1,109 @@
+"""Encoding of the administration API's results as HTTP responses, by their types."""
+
+from functools import singledispatch
+
+from msgspec import Struct
+from msgspec.json import encode
+
+from pollenbay.endpoint import BadRequestError, EndpointError, UnknownPathError, WrongMethodError
+from pollenbay.http1 import HttpRequestError, HttpResponse
+from pollenbay.publication import Invalid, NotWritten, Refused, Unsettled
+from pollenbay.queries.health import MetricsText, Readiness
+from pollenbay.queries.history import HistoryUnknown
+
+JSON_TYPE = (b"content-type", b"application/json")
+METRICS_TYPE = (b"content-type", b"text/plain; version=0.0.4; charset=utf-8")
+TOKEN_HEADER = (b"www-authenticate", b"Bearer")
+
+
+class Problem(Struct, frozen=True):
+    """Why a request was not carried out."""
+
+    error: str
+
+
+class TokenMissing(Struct, frozen=True):
+    """The request needs a token that it does not have."""
+
+
+@singledispatch
+def make_reply(result: object) -> HttpResponse:
+    """Return the response that carries a result; 200 and JSON unless its type says otherwise."""
+    return _json(200, result)
+
+
+@make_reply.register
+def _(result: MetricsText) -> HttpResponse:
+    return HttpResponse(200, [METRICS_TYPE], result.text)
+
+
+@make_reply.register
+def _(result: Readiness) -> HttpResponse:
+    return _json(200 if result.ready else 503, result)
+
+
+@make_reply.register
+def _(result: Refused) -> HttpResponse:
+    return _json(409, result)
+
+
+@make_reply.register
+def _(result: Invalid) -> HttpResponse:
+    return _json(422, result)
+
+
+@make_reply.register
+def _(result: NotWritten) -> HttpResponse:
+    return _json(503, result)
+
+
+@make_reply.register
+def _(result: Unsettled) -> HttpResponse:
+    return _json(504, result)
+
+
+@make_reply.register
+def _(result: HistoryUnknown) -> HttpResponse:
+    return _problem(503, result.message)
+
+
+@make_reply.register
+def _(result: TokenMissing) -> HttpResponse:
+    response = _problem(401, "expected the header authorization: Bearer TOKEN")
+    response.headers.append(TOKEN_HEADER)
+    return response
+
+
+@make_reply.register
+def _(error: HttpRequestError) -> HttpResponse:
+    return _problem(error.status, str(error))
+
+
+@make_reply.register
+def _(error: EndpointError) -> HttpResponse:
+    return _problem(500, str(error))
+
+
+@make_reply.register
+def _(error: UnknownPathError) -> HttpResponse:
+    return _problem(404, str(error))
+
+
+@make_reply.register
+def _(error: BadRequestError) -> HttpResponse:
+    return _problem(400, str(error))
+
+
+@make_reply.register
+def _(error: WrongMethodError) -> HttpResponse:
+    response = _problem(405, str(error))
+    response.headers.append((b"allow", error.allowed))
+    return response
+
+
+def _problem(status: int, message: str) -> HttpResponse:
+    return _json(status, Problem(message))
+
+
+def _json(status: int, value: object) -> HttpResponse:
+    return HttpResponse(status, [JSON_TYPE], encode(value))
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -6,9 +6,10 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
-from table_double import Fault, TableDouble, drive
+from stepped_table import Fault, TableDouble, drive
 
 from pollenbay.commands import execute
+from pollenbay.commands.adoption import adopt
 from pollenbay.commands.publication import Publish, publish, read_current
 from pollenbay.commands.settlement import Settle, settle
 from pollenbay.finding import FindingKind
@@ -244,10 +245,23 @@
         assert not (isinstance(outcome, Accepted) and outcome.version == 1)
 
 
+class _Clock:
+    def epoch(self) -> float:
+        return NOW
+
+
+@dataclass
+class _Membership:
+    rulebook: Rulebook = field(default_factory=make_rulebook)
+    timer: _Clock = field(default_factory=_Clock)
+    ticks: dict[str, Any] = field(default_factory=dict)
+    adopt: Any = staticmethod(adopt)
+
+
 @dataclass
 class _Node:
     table: TableDouble
-    rulebook: Rulebook = field(default_factory=make_rulebook)
+    membership: _Membership = field(default_factory=_Membership)
 
 
 class TestExecute:
@@ -255,7 +269,7 @@
         node = _Node(TableDouble())
         outcome = drive(execute(_publish(1), node))
         assert isinstance(outcome, Accepted)
-        assert node.rulebook.version == 1
+        assert node.membership.rulebook.version == 1
 
     def test_rules_with_errors_are_not_written(self) -> None:
         node = _Node(TableDouble())
