--- a/src/pollenbay/http1.py
+++ b/src/pollenbay/http1.py
@@ -127,6 +127,7 @@
         if not isinstance(head, h11.Request):
             return None
         self._head_request = head.method == b"HEAD"
+        self._require_length_in_limit(list(head.headers))
         body = await self._read_body()
         return HttpRequest(head.method, head.target, list(head.headers), body)
 
@@ -141,6 +142,11 @@
             response.headers.append((b"connection", b"close"))
             await self._sock.sendall(self._encode(response))
 
+    def _require_length_in_limit(self, headers: Headers) -> None:
+        stated = header_value(headers, b"content-length")
+        if stated is not None and int(stated) > self._body_limit_bytes:
+            raise HttpRequestError(413, "the body is too long")
+
     def _encode(self, response: HttpResponse) -> bytes:
         body = b"" if response.status in STATUSES_WITHOUT_BODY else response.body
         headers = response.headers
--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -5,7 +5,7 @@
 
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
-from table_double import Fault, TableDouble, drive
+from stepped_table import Fault, TableDouble, drive
 
 from pollenbay.commands import execute
 from pollenbay.commands.publication import Publish, publish, read_current
