--- /dev/null
+++ b/tests/test_rules.py
@@ -0,0 +1,68 @@
+"""Tests of pollenbay.queries.rules and pollenbay.queries.history."""
+
+from stepped_table import Fault, TableDouble, drive
+
+from pollenbay.ids import OperatorId, RuleVersion
+from pollenbay.queries.history import read_history
+from pollenbay.queries.rules import (
+    RulesBrokenError,
+    RulesUnreachableError,
+    digest,
+    find_call,
+    read_current,
+)
+from pollenbay.rule import CallRule, ServiceRule
+from pollenbay.rulebook import make_rulebook
+from pollenbay.rulerow import CURRENT_KEY, encode_row, history_key, make_rule_set
+from pollenbay.states import CallClass
+from pollenbay.table import Write
+
+GET = CallRule(name="get", call_class=CallClass.NORMAL, wait_ms=100)
+DOCS = ServiceRule(service="docs", calls=(GET,))
+STOCK = ServiceRule(service="stock", calls=(GET,))
+
+
+class TestFindCall:
+    def test_known_and_unknown(self) -> None:
+        rulebook = make_rulebook()
+        rulebook.replace(make_rule_set(RuleVersion(1), (DOCS,), OperatorId("a"), 0.0), 0.0)
+        assert find_call(rulebook, "docs", "get") == GET
+        assert find_call(rulebook, "docs", "put") is None
+        assert find_call(rulebook, "stock", "get") is None
+
+
+class TestDigest:
+    def test_order_of_services_does_not_matter(self) -> None:
+        assert digest((DOCS, STOCK)) == digest((STOCK, DOCS))
+
+    def test_content_matters(self) -> None:
+        assert digest((DOCS,)) != digest((STOCK,))
+
+
+class TestReadCurrent:
+    def test_round_trip(self) -> None:
+        table = TableDouble()
+        rules = make_rule_set(RuleVersion(1), (STOCK, DOCS), OperatorId("a"), 3.0)
+        table.apply_write(Write(CURRENT_KEY, encode_row(rules)))
+        assert drive(read_current(table)).unwrap() == rules
+
+    def test_table_down(self) -> None:
+        error = drive(read_current(TableDouble()), [Fault.DOWN]).unwrap_err()
+        assert isinstance(error, RulesUnreachableError)
+
+    def test_broken_row(self) -> None:
+        table = TableDouble()
+        for value in (b"", b"\xc1", b"\x81\xa1a\x01"):
+            table.apply_write(Write(CURRENT_KEY, value))
+            error = drive(read_current(table)).unwrap_err()
+            assert isinstance(error, RulesBrokenError)
+
+
+class TestReadHistory:
+    def test_broken_entry(self) -> None:
+        table = TableDouble()
+        table.apply_write(Write(history_key(RuleVersion(1)), b"\xc1"))
+        assert isinstance(drive(read_history(table, 5)).unwrap_err(), RulesBrokenError)
+
+    def test_none(self) -> None:
+        assert drive(read_history(TableDouble(), 5)).unwrap().entries == ()
