--- a/tests/test_standins_target.py
+++ b/tests/test_standins_target.py
@@ -26,7 +26,7 @@
 CALLS = [
     {"name": "count", "service_ms": 1},
     {"name": "slow", "service_ms": 3000},
-    {"name": "chain", "service_ms": 1, "calls": ["stock.count", "stock.slow"], "parallel": True},
+    {"name": "chain", "service_ms": 1, "calls": ["stock.slow", "stock.count"], "parallel": True},
     {"name": "short", "service_ms": 1, "calls": ["stock.count", "stock.count"]},
 ]
 
@@ -135,7 +135,9 @@
         shop = target_calling(processes, wide.port)
         call = Thread(target=send, args=(shop.port, "/chain"))
         call.start()
-        wait_until(lambda: run_log(wide)["counts"]["started"] == 2)
+        wait_until(lambda: run_log(wide)["counts"]["finished"] == 1)
+        finished = {run["call"]: run["finished"] for run in run_log(wide)["runs"]}
+        assert finished == {"slow": False, "count": True}
         call.join()
 
 
