--- a/src/standins/load.py
+++ b/src/standins/load.py
@@ -15,8 +15,14 @@
     header_value,
 )
 from pollenbay.outcome import Headers
-from pollenbay.translation import CALLER_HEADER, DEADLINE_HEADER, KEY_HEADER, OUTCOME_HEADER
-from standins.commands.load import in_flight, note_ending
+from pollenbay.translation import (
+    CALLER_HEADER,
+    DEADLINE_HEADER,
+    KEY_HEADER,
+    OUTCOME_HEADER,
+    REASON_HEADER,
+)
+from standins.commands.load import in_flight, note_ending, note_refusal
 from standins.load_settings import (
     CallerGroup,
     ClosedLoop,
@@ -28,7 +34,7 @@
     Phase,
     RetryPolicy,
 )
-from standins.load_state import Ending, LoadState, Result
+from standins.load_state import Ending, LoadState, Refusal, Result
 from standins.marker import MARKER_HEADER, SIZE_HEADER, is_own_answer
 from standins.pool import Pool
 
@@ -40,6 +46,7 @@
 class Attempt(Struct):
     """One request as it goes out, again and again if it is retried."""
 
+    call: str
     request: HttpRequest
     marker: str
     size_bytes: int
@@ -111,7 +118,12 @@
             return Result.NOT_RUN
         except (HttpError, TaskTimeout):
             return Result.UNKNOWN
-        return _judge(attempt, response)
+        result = _judge(attempt, response)
+        reason = header_value(response.headers, REASON_HEADER)
+        if reason is not None:
+            refusal = Refusal(attempt.call, result, reason.decode("latin-1"))
+            note_refusal(self._state, refusal)
+        return result
 
     def _make_attempt(self, callers: CallerGroup, caller: int, entry: MixEntry) -> Attempt:
         self._made += 1
@@ -127,7 +139,8 @@
             headers.append((KEY_HEADER, key.encode("ascii")))
         path = "/" + entry.call.replace(".", "/", 1)
         request = HttpRequest(b"POST", path.encode("ascii"), headers)
-        return Attempt(request, marker, entry.size_bytes, entry.wait_ms / 1000.0, key)
+        wait_s = entry.wait_ms / 1000.0
+        return Attempt(entry.call, request, marker, entry.size_bytes, wait_s, key)
 
 
 def _judge(attempt: Attempt, response: HttpResponse) -> Result:
--- a/src/standins/load_state.py
+++ b/src/standins/load_state.py
@@ -1,5 +1,6 @@
 """State of the load tool: what became of each request, and the report made from it."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 from enum import Enum
 
@@ -43,11 +44,24 @@
         return all(result is Result.NOT_RUN for result in self.attempts)
 
 
+class Refusal(Struct, frozen=True):
+    """An attempt of which a node said that it was not run or that its end is not known.
+
+    :param call: as ``service.call``.
+    :param reason: reason as the node gave it.
+    """
+
+    call: str
+    result: Result
+    reason: str
+
+
 @dataclass(slots=True)
 class LoadState:
     """Everything that the load tool has seen."""
 
     endings: list[Ending] = field(default_factory=list)
+    refusals: Counter[Refusal] = field(default_factory=Counter)
     in_flight: int = 0
 
 
@@ -75,6 +89,13 @@
     p99_ms: float | None
 
 
+class RefusalCount(Struct):
+    """How many attempts ended with a refusal."""
+
+    refusal: Refusal
+    attempts: int
+
+
 class Recovery(Struct):
     """Return to health after the surge; None if it was not seen.
 
@@ -104,12 +125,14 @@
     """Report of one run.
 
     :param whole_per_s: whole answers by second of their arrival at the caller.
+    :param refusals: the most frequent first.
     :param truth: None if no target was asked.
     """
 
     classes: list[ClassReport]
     recovery: Recovery
     whole_per_s: list[int]
+    refusals: list[RefusalCount]
     truth: Truth | None = None
 
 
--- a/src/standins/queries/load.py
+++ b/src/standins/queries/load.py
@@ -11,6 +11,7 @@
     LoadReport,
     LoadState,
     Recovery,
+    RefusalCount,
     Result,
     Truth,
 )
@@ -35,7 +36,9 @@
         start_s = end_s
     whole = [ending for ending in state.endings if ending.result is Result.WHOLE]
     whole_per_s = _per_second((ending.ended_s for ending in whole), start_s)
-    return LoadReport(classes, _recovery(state.endings, whole_per_s, phases), whole_per_s)
+    refusals = [RefusalCount(item, count) for item, count in state.refusals.most_common()]
+    recovery = _recovery(state.endings, whole_per_s, phases)
+    return LoadReport(classes, recovery, whole_per_s, refusals)
 
 
 def check_truth(state: LoadState, logs: Iterable[RunLog]) -> Truth:
@@ -65,6 +68,7 @@
         "  ".join(cell.rjust(width) for cell, width in zip(row, widths, strict=True))
         for row in rows
     ]
+    lines += [_refusal_line(count) for count in report.refusals]
     lines.append(f"recovery by goodput: {_seconds(report.recovery.goodput_s)}")
     lines.append(f"recovery by share of whole answers: {_seconds(report.recovery.share_s)}")
     if report.truth is not None:
@@ -158,6 +162,11 @@
     )
 
 
+def _refusal_line(count: RefusalCount) -> str:
+    refusal = count.refusal
+    return f"{refusal.call}: {refusal.result.value}, {refusal.reason}: {count.attempts} attempts"
+
+
 def _milliseconds(value: float | None) -> str:
     return "-" if value is None else f"{value:.1f}"
 
--- a/tests/test_standins_load.py
+++ b/tests/test_standins_load.py
@@ -9,9 +9,10 @@
 from hypothesis import strategies as st
 
 from pollenbay.states import CallClass
+from standins.commands.load import note_refusal
 from standins.load_settings import Phase
-from standins.load_state import Ending, Result, make_load_state
-from standins.queries.load import check_truth, make_report
+from standins.load_state import Ending, Refusal, Result, make_load_state
+from standins.queries.load import check_truth, format_table, make_report
 from standins.target_state import Run, RunCounts, RunLog
 
 PHASES = [
@@ -55,6 +56,19 @@
         assert [(item.whole, item.not_run, item.sent) for item in surge] == [(0, 20, 20)]
 
 
+class TestRefusals:
+    def test_they_are_counted_by_call_and_reason(self):
+        state = make_load_state()
+        for reason in ("overload", "deadline", "overload"):
+            note_refusal(state, Refusal("stock.count", Result.NOT_RUN, reason))
+        report = make_report(state, PHASES)
+        assert [(item.refusal.reason, item.attempts) for item in report.refusals] == [
+            ("overload", 2),
+            ("deadline", 1),
+        ]
+        assert "stock.count: not-run, overload: 2 attempts" in format_table(report)
+
+
 class TestTruth:
     def log(self, *keys: str) -> RunLog:
         return RunLog([Run("book", key, "m", 0.0) for key in keys], RunCounts())
