--- a/src/pollenbay/commands/gossiping.py
+++ b/src/pollenbay/commands/gossiping.py
@@ -2,7 +2,7 @@
 
 from logging import getLogger
 
-from curio import CancelledError, TaskGroup, spawn
+from curio import CancelledError, TaskError, TaskGroup, spawn
 
 from pollenbay.commands.heartbeat import renew_report
 from pollenbay.commands.joining import run_announcements, run_joining
@@ -122,9 +122,11 @@
     membership.ticks.pop(instance, None)
     membership.differs_since.pop(instance, None)
     membership.asked.discard(instance)
-    await task.wait()
-    if task.exception is not None and not isinstance(task.exception, CancelledError):
-        LOG.error("peer task failed", extra={"peer": instance, "error": repr(task.exception)})
+    try:
+        await task.join()
+    except TaskError as error:
+        if not isinstance(error.__cause__, CancelledError):
+            LOG.error("peer task failed", extra={"peer": instance, "error": repr(error.__cause__)})
 
 
 async def _stop_peers(membership: Membership) -> None:
--- a/src/pollenbay/commands/joining.py
+++ b/src/pollenbay/commands/joining.py
@@ -18,6 +18,7 @@
     NodeRow,
     announce_node,
     announce_period_s,
+    backoff_limit_s,
     read_incarnation,
     read_seeds,
     remove_abandoned,
@@ -25,7 +26,6 @@
 
 LOG = getLogger("pollenbay.membership")
 BACKOFF_MIN_S = 0.5
-BACKOFF_MAX_S = 10.0
 #: Seeds that are asked in one attempt.
 SEEDS_PER_ATTEMPT = 8
 #: Seeds that have to answer before the view counts as fetched.
@@ -50,7 +50,7 @@
         if needs_contact(membership) and membership.timer.now() >= next_at:
             await join(membership)
             next_at = membership.timer.now() + backoff_s * membership.rng.uniform(*JITTER)
-            backoff_s = min(backoff_s * 2, BACKOFF_MAX_S)
+            backoff_s = min(backoff_s * 2, backoff_limit_s(len(membership.view.members)))
         elif not needs_contact(membership):
             backoff_s = BACKOFF_MIN_S
         await ticks.wait()
@@ -93,7 +93,9 @@
                 backoff_s = BACKOFF_MIN_S
                 wait_s = announce_period_s(len(membership.view.members))
             else:
-                wait_s = backoff_s = min(backoff_s * 2, BACKOFF_MAX_S)
+                wait_s = backoff_s = min(
+                    backoff_s * 2, backoff_limit_s(len(membership.view.members))
+                )
             next_at = membership.timer.now() + wait_s * membership.rng.uniform(*JITTER)
         await ticks.wait()
 
--- a/src/pollenbay/commands/membership.py
+++ b/src/pollenbay/commands/membership.py
@@ -157,7 +157,7 @@
     gossip.counts.stalls += 1
     for contact in gossip.contacts.values():
         contact.heard_at = now
-    for member in view.members.values():
+    for member in view.doubted.values():
         if member.state is MemberState.SUSPECT:
             member.state_at = now
     if gap > STALE_VIEW_S:
@@ -202,7 +202,7 @@
 
 def _declare_dead(gossip: Gossip, view: View, now: float) -> None:
     wait_s = SUSPECT_HOLD_S if suspects_are_many(view) else REFUTE_S
-    for member in list(view.members.values()):
+    for member in list(view.doubted.values()):
         if member.state is MemberState.SUSPECT and now - member.state_at >= wait_s:
             _declare(gossip, view, member, now)
 
@@ -217,7 +217,7 @@
 
 
 def _forget_dead(gossip: Gossip, view: View, now: float) -> None:
-    for member in list(view.members.values()):
+    for member in list(view.doubted.values()):
         if member.state is MemberState.DEAD and now - member.state_at >= TOMBSTONE_S:
             gossip.counts.forgotten += 1
             view.remove(member.instance)
--- a/src/pollenbay/membership.py
+++ b/src/pollenbay/membership.py
@@ -122,16 +122,18 @@
     adopt: Adopt,
     read_rules: ReadRules,
     rng: Random | None = None,
+    incarnation: Incarnation | None = None,
 ) -> Membership:
     """Return the membership of a node that listens and knows only itself.
 
     :param link_port: port at which other nodes' calls are taken.
+    :param incarnation: that of this run; by the wall clock if it is not given.
     :raises PeerListenError: if the gossip port cannot be opened.
     """
     traffic = make_peer_traffic()
     server = make_peer_server(settings.address, settings.ports.gossip, traffic)
     now = timer.now()
-    incarnation = Incarnation(int(timer.epoch() * MS_PER_S))
+    incarnation = incarnation or Incarnation(int(timer.epoch() * MS_PER_S))
     view.put(
         Member(
             instance=settings.instance,
--- a/src/pollenbay/queries/membership.py
+++ b/src/pollenbay/queries/membership.py
@@ -11,10 +11,9 @@
 from pollenbay.ids import InstanceId
 from pollenbay.news import PAGE_LIMIT, Record
 from pollenbay.states import MemberState
-from pollenbay.view import Endpoints, Member, Place, View, bucket_of
+from pollenbay.view import Endpoints, Member, Place, View
 
 _FINALITY = {MemberState.LEAVING: 1, MemberState.DEAD: 2}
-_LIVE = frozenset({MemberState.STARTING, MemberState.SERVING, MemberState.SUSPECT})
 
 
 class Standing(NamedTuple):
@@ -99,8 +98,7 @@
 
 def records_in_bucket(view: View, bucket: int) -> list[Record]:
     """Return the records of a bucket of the summary."""
-    members = view.members.values()
-    return [record_of(member) for member in members if bucket_of(member.instance) == bucket]
+    return [record_of(member) for member in view.in_bucket(bucket)]
 
 
 def page_after(view: View, after: InstanceId) -> list[Record]:
@@ -113,9 +111,9 @@
 
 def suspects_are_many(view: View) -> bool:
     """Tell whether so many are suspected that a cut network is likelier than their death."""
-    states = [member.state for member in view.members.values()]
-    suspects = states.count(MemberState.SUSPECT)
-    live = sum(state in _LIVE for state in states)
+    doubted = view.doubted.values()
+    suspects = sum(member.state is MemberState.SUSPECT for member in doubted)
+    live = len(view.members) - (len(doubted) - suspects)
     return suspects >= max(MASS_MIN, MASS_SHARE * live)
 
 
--- a/src/pollenbay/rendezvous.py
+++ b/src/pollenbay/rendezvous.py
@@ -15,11 +15,16 @@
 POLLS_PER_S = 100.0
 ANNOUNCE_MIN_S = 60.0
 POLL_MIN_S = 2.0
+BACKOFF_MAX_S = 10.0
 ZONE_SEED_ROWS = 32
 WORLD_SEED_ROWS = 32
+#: Rows past which no more are read.
+SEED_ROWS_ENOUGH = 8
 #: Age in announcement periods after which a row counts as abandoned.
 ABANDONED_PERIODS = 20
 REMOVALS_LIMIT = 16
+#: Reads for seeds that are always made: of the own zone and of another.
+SCANS_MIN = 2
 #: Sorts after every character of a name.
 LAST_CHARACTER = "\U0010ffff"
 
@@ -52,6 +57,11 @@
     return max(POLL_MIN_S, members / POLLS_PER_S)
 
 
+def backoff_limit_s(members: int) -> float:
+    """Return the longest time between two attempts at the table in a group of this size."""
+    return max(BACKOFF_MAX_S, members / POLLS_PER_S)
+
+
 async def announce_node(table: Table, record: Record, epoch_s: float) -> Result[None, TableError]:
     """Write a node's row; writing it twice does no harm."""
     row = NodeRow(record.instance, record.incarnation, record.address, record.gossip_port, epoch_s)
@@ -78,12 +88,14 @@
     zone_prefix = f"{NODES_PREFIX}{record.zone}/"
     scans = (
         (zone_prefix, row_key(record.zone, record.instance), ZONE_SEED_ROWS),
-        (zone_prefix, "", ZONE_SEED_ROWS),
         (NODES_PREFIX, zone_prefix + LAST_CHARACTER, WORLD_SEED_ROWS),
+        (zone_prefix, "", ZONE_SEED_ROWS),
         (NODES_PREFIX, "", WORLD_SEED_ROWS),
     )
     found: dict[InstanceId, NodeRow] = {}
-    for prefix, after, limit in scans:
+    for order, (prefix, after, limit) in enumerate(scans):
+        if order >= SCANS_MIN and len(found) >= SEED_ROWS_ENOUGH:
+            break
         result = await table.scan(prefix, after, limit)
         if result.is_err():
             return result
--- a/src/pollenbay/view.py
+++ b/src/pollenbay/view.py
@@ -19,6 +19,8 @@
 SUMMARY_BUCKETS = 64
 MARK_BYTES = 8
 
+_DOUBTED = frozenset({MemberState.SUSPECT, MemberState.DEAD})
+
 
 @dataclass(frozen=True, slots=True)
 class Place:
@@ -92,12 +94,18 @@
         self._marks: dict[InstanceId, tuple[int, int]] = {}
         self._summary = [0] * SUMMARY_BUCKETS
         self._total_changes = 0
+        self._doubted: dict[InstanceId, Member] = {}
 
     @property
     def total_changes(self) -> int:
         """Return how often a member was put or removed."""
         return self._total_changes
 
+    @property
+    def doubted(self) -> dict[InstanceId, Member]:
+        """Return the suspected and the dead members by instance."""
+        return self._doubted
+
     @property
     def summary(self) -> list[int]:
         """Return one 64-bit sum for each bucket; equal for views that hold the same news."""
@@ -116,12 +124,19 @@
         """Return a count that grows when a member comes, goes, or changes state or place."""
         return self._changes.get(service, 0)
 
+    def in_bucket(self, bucket: int) -> list[Member]:
+        """Return the members of one bucket of the summary."""
+        marks = self._marks.items()
+        return [self._members[instance] for instance, (each, _) in marks if each == bucket]
+
     def put(self, member: Member) -> None:
         """Add a member or replace what was known of it."""
         old = self._take(member.instance)
         self._members[member.instance] = member
         self._by_service.setdefault(member.service, {})[member.instance] = member
         self._add_mark(member)
+        if member.state in _DOUBTED:
+            self._doubted[member.instance] = member
         self._total_changes += 1
         if old is None or _changes_candidates(old, member):
             self._count_change(member.service)
@@ -139,6 +154,7 @@
         member = self._members.pop(instance, None)
         if member is not None:
             self._by_service[member.service].pop(instance, None)
+            self._doubted.pop(instance, None)
             bucket, mark = self._marks.pop(instance)
             self._summary[bucket] ^= mark
         return member
