--- a/src/pollenbay/commands/membership.py
+++ b/src/pollenbay/commands/membership.py
@@ -148,8 +148,7 @@
         _recover_from_stall(gossip, view, gap, now)
     _update_isolation(gossip, now)
     _suspect_silent(gossip, view, now)
-    if not gossip.isolated:
-        _declare_dead(gossip, view, now)
+    _declare_dead(gossip, view, now)
     _forget_dead(gossip, view, now)
 
 
--- /dev/null
+++ b/tests/test_rendezvous.py
@@ -0,0 +1,133 @@
+"""Rows by which nodes find each other, and the load they put on the table."""
+
+import pytest
+from curio import run
+
+from membership_double import SharedTable, record_for
+from pollenbay.ids import RowKey, RuleVersion
+from pollenbay.rendezvous import (
+    ABANDONED_PERIODS,
+    ANNOUNCE_MIN_S,
+    REMOVALS_LIMIT,
+    WORLD_SEED_ROWS,
+    ZONE_SEED_ROWS,
+    announce_node,
+    announce_period_s,
+    backoff_limit_s,
+    has_newer_rules,
+    poll_period_s,
+    read_incarnation,
+    read_seeds,
+    remove_abandoned,
+    row_key,
+    withdraw_node,
+)
+from pollenbay.table import Write
+
+SIZE = 3800
+SCANS_MAX = 4
+
+
+async def fill(table: SharedTable, zones: tuple[str, ...], count: int, epoch_s: float) -> None:
+    """Announce `count` nodes in each zone."""
+    for zone in zones:
+        for number in range(count):
+            await announce_node(table, record_for(f"{zone}-{number:03d}", zone=zone), epoch_s)
+
+
+class TestBudget:
+    def test_table_carries_the_target_size(self):
+        writes_per_s = SIZE / announce_period_s(SIZE)
+        announcement_reads_per_s = writes_per_s * (1 + 1 + SCANS_MAX)
+        poll_reads_per_s = SIZE / poll_period_s(SIZE)
+        assert writes_per_s <= 100
+        assert announcement_reads_per_s + poll_reads_per_s <= 300
+        assert SIZE / backoff_limit_s(SIZE) <= 100
+
+    def test_few_nodes_look_often(self):
+        assert poll_period_s(8) == 2.0
+        assert announce_period_s(8) == ANNOUNCE_MIN_S
+
+
+class TestSeeds:
+    def test_seeds_are_bounded_and_of_several_zones(self):
+        table = SharedTable()
+
+        async def main():
+            await fill(table, ("z1", "z2", "z3"), 100, 0.0)
+            result = await read_seeds(table, record_for("z2-050", zone="z2"))
+            return result.ok_value
+
+        seeds = run(main)
+        assert 0 < len(seeds) <= 2 * (ZONE_SEED_ROWS + WORLD_SEED_ROWS)
+        zones = {row.instance.partition("-")[0] for row in seeds}
+        assert {"z2", "z3"} <= zones
+        assert "z2-050" not in {row.instance for row in seeds}
+
+    def test_last_node_of_the_last_zone_finds_others(self):
+        table = SharedTable()
+
+        async def main():
+            await fill(table, ("z1", "z2"), 2, 0.0)
+            result = await read_seeds(table, record_for("z2-001", zone="z2"))
+            return {row.instance for row in result.ok_value}
+
+        assert run(main) == {"z1-000", "z1-001", "z2-000"}
+
+    def test_broken_rows_are_passed_over(self):
+        table = SharedTable()
+
+        async def main():
+            await fill(table, ("z1",), 1, 0.0)
+            await table.transact([], [Write(RowKey("nodes/z1/broken"), b"\xff")])
+            result = await read_seeds(table, record_for("me"))
+            return [row.instance for row in result.ok_value]
+
+        assert run(main) == ["z1-000"]
+
+    def test_table_that_is_down_is_an_error(self):
+        table = SharedTable()
+        table.down = True
+        assert run(read_seeds, table, record_for("a")).is_err()
+
+
+class TestRows:
+    def test_incarnation_is_read_back_and_gone_after_withdrawal(self):
+        table = SharedTable()
+
+        async def main():
+            record = record_for("a", incarnation=17)
+            absent = await read_incarnation(table, record)
+            await announce_node(table, record, 1.0)
+            present = await read_incarnation(table, record)
+            await withdraw_node(table, record)
+            return absent.ok_value, present.ok_value, list(table.rows)
+
+        assert run(main) == (0, 17, [])
+
+    @pytest.mark.parametrize("age_factor, left", [(0.5, 41), (2.0, 41 - REMOVALS_LIMIT)])
+    def test_only_rows_that_nobody_renews_are_removed_and_few_at_once(self, age_factor, left):
+        table = SharedTable()
+
+        async def main():
+            await fill(table, ("z1",), 40, 0.0)
+            me = record_for("z1", zone="z1")
+            now = age_factor * ABANDONED_PERIODS * announce_period_s(41)
+            await announce_node(table, me, now)
+            await remove_abandoned(table, me, now, 41)
+            return row_key(me.zone, me.instance) in table.rows
+
+        assert run(main)
+        assert len(table.rows) == left
+
+
+class TestNewerRules:
+    def test_only_a_version_above_counts(self):
+        table = SharedTable()
+
+        async def main():
+            await table.transact([], [Write(RowKey("rules/history/0000000012"), b"")])
+            answers = [await has_newer_rules(table, RuleVersion(each)) for each in (9, 11, 12, 13)]
+            return [answer.ok_value for answer in answers]
+
+        assert run(main) == [True, True, False, False]
