Say in the load report how healthy the base was; a load file of one's own for the demo

A base that is itself degraded made recovery look instant: one Esernyo demo printed 0 s although only 723 of the base's 944 sheddable requests got a whole answer.

--- a/demo/run.sh
+++ b/demo/run.sh
@@ -3,7 +3,8 @@
 # with a node each for every service, the rule files published, and calls at and over capacity.
 #
 # usage: demo/run.sh [sagbru|esernyo]
-# PYTHON names the interpreter, INSTANCES the instances a service.
+# PYTHON names the interpreter, INSTANCES the instances a service, LOAD another file for the load
+# tool, REPORT a file for its report in JSON.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 
@@ -12,6 +13,7 @@
 instances="${INSTANCES:-2}"
 settings="src/standins/deployments/$deployment"
 rules="examples/$deployment"
+load="${LOAD:-$settings/load.yaml}"
 ready_within_s=20
 in_force_within_s=20
 export PYTHONPATH=src
@@ -108,7 +110,7 @@
 for target in "${targets[@]}"; do
     arguments+=(--target-control "$(port_of "$target" control_port)")
 done
-"$python" -m standins.caller --config "$settings/load.yaml" "${arguments[@]}" \
+"$python" -m standins.caller --config "$load" "${arguments[@]}" \
     >"$work/report.json" 2>"$work/load.out" || { cat "$work/load.out" >&2; exit 1; }
 cat "$work/load.out"
 if [[ -n "${REPORT:-}" ]]; then
--- a/src/standins/load_state.py
+++ b/src/standins/load_state.py
@@ -97,14 +97,17 @@
 
 
 class Recovery(Struct):
-    """Return to health after the surge; None if it was not seen.
+    """Return to health after the surge, against the base phase; None if it was not seen.
 
+    :param base_share: share of the requests of the base that got a whole answer; where it is
+        well below 1 the base was not healthy and the return to it says little.
     :param goodput_s: seconds from the end of the surge until whole answers a second stay at 95%
         of the base for 3 s.
     :param share_s: the same by the share of arriving requests that get a whole answer, which
         does not vary with the chance of arrivals.
     """
 
+    base_share: float | None
     goodput_s: float | None
     share_s: float | None
 
--- a/src/standins/queries/load.py
+++ b/src/standins/queries/load.py
@@ -69,6 +69,7 @@
         for row in rows
     ]
     lines += [_refusal_line(count) for count in report.refusals]
+    lines.append(f"whole answers in the base: {_percent(report.recovery.base_share)}")
     lines.append(f"recovery by goodput: {_seconds(report.recovery.goodput_s)}")
     lines.append(f"recovery by share of whole answers: {_seconds(report.recovery.share_s)}")
     if report.truth is not None:
@@ -120,14 +121,16 @@
 
 def _recovery(endings: list[Ending], whole_per_s: list[int], phases: Sequence[Phase]) -> Recovery:
     if len(phases) < 3:
-        return Recovery(None, None)
+        return Recovery(None, None, None)
     base_s = int(phases[0].seconds)
     surge_end_s = int(phases[0].seconds + phases[1].seconds)
     sent = _per_second((ending.arrived_s for ending in endings), len(whole_per_s))
     whole_by_arrival = (item.arrived_s for item in endings if item.result is Result.WHOLE)
     answered = _per_second(whole_by_arrival, len(whole_per_s))
     shares = [part / all_ if all_ else 1.0 for part, all_ in zip(answered, sent, strict=True)]
+    base_sent = sum(sent[WARM_UP_S:base_s])
     return Recovery(
+        base_share=sum(answered[WARM_UP_S:base_s]) / base_sent if base_sent else None,
         goodput_s=_restored_after(whole_per_s, base_s, surge_end_s),
         share_s=_restored_after(shares, base_s, surge_end_s),
     )
@@ -173,3 +176,7 @@
 
 def _seconds(value: float | None) -> str:
     return "not seen" if value is None else f"{value:.0f} s"
+
+
+def _percent(value: float | None) -> str:
+    return "not seen" if value is None else f"{value:.1%}"
--- a/tests/test_standins_load.py
+++ b/tests/test_standins_load.py
@@ -46,6 +46,13 @@
         recovery = make_report(state_with_outage(5, 7 + lag_s), PHASES).recovery
         assert recovery.goodput_s == recovery.share_s == lag_s
 
+    def test_a_base_that_is_not_healthy_is_said_so(self):
+        state = state_with_outage(5, 7)
+        state.endings += [ending(2, Result.NOT_RUN) for _ in range(10)]
+        report = make_report(state, PHASES)
+        assert report.recovery.base_share == pytest.approx(40 / 50)
+        assert "whole answers in the base: 80.0%" in format_table(report)
+
     def test_no_recovery_is_said_so(self):
         recovery = make_report(state_with_outage(5, 14), PHASES).recovery
         assert recovery.goodput_s is None
