--- a/src/pollenbay/commands/upkeep.py
+++ b/src/pollenbay/commands/upkeep.py
@@ -6,6 +6,7 @@
 from pollenbay.commands.life import change_state
 from pollenbay.commands.routing import forget_gone
 from pollenbay.commands.serving import wake
+from pollenbay.metrics import IN_FLIGHT, LIMIT, MEMBERS, QUEUED, RULE_VERSION
 from pollenbay.node import Node
 from pollenbay.queries.admission import load
 from pollenbay.states import NodeState, TargetState
@@ -45,8 +46,8 @@
     present = load(node.gate)
     report_load(node.membership, present)
     node.membership.me.load = present
-    node.metrics.in_flight.set(present.in_flight)
-    node.metrics.limit.set(present.limit)
-    node.metrics.queued.set(present.queued)
-    node.metrics.rule_version.set(node.rulebook.version)
-    node.metrics.members.set(len(node.view.members))
+    node.metrics.set_gauge(IN_FLIGHT, present.in_flight)
+    node.metrics.set_gauge(LIMIT, present.limit)
+    node.metrics.set_gauge(QUEUED, present.queued)
+    node.metrics.set_gauge(RULE_VERSION, node.rulebook.version)
+    node.metrics.set_gauge(MEMBERS, len(node.view.members))
--- a/src/pollenbay/metrics.py
+++ b/src/pollenbay/metrics.py
@@ -1,6 +1,13 @@
 """Counters and histograms of a node; label values are bounded by construction."""
 
+from collections.abc import Iterator
+from dataclasses import dataclass
+from enum import Enum
+
 from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+from prometheus_client.metrics import MetricWrapperBase
+from prometheus_client.metrics_core import CounterMetricFamily
+from prometheus_client.registry import Collector
 
 from pollenbay.ids import CallerId
 from pollenbay.states import CallClass, Reason
@@ -15,6 +22,112 @@
 NO_CLASS = "none"
 
 
+class Kind(Enum):
+    """What an instrument does."""
+
+    COUNTER = "counter"
+    GAUGE = "gauge"
+    HISTOGRAM = "histogram"
+
+
+@dataclass(frozen=True, slots=True)
+class Instrument:
+    """Description of one instrument."""
+
+    name: str
+    kind: Kind
+    text: str
+    labels: tuple[str, ...] = ()
+
+
+CALL_SECONDS = Instrument(
+    "pollenbay_call_seconds",
+    Kind.HISTOGRAM,
+    "Seconds from a request's arrival to its outcome, by class and outcome.",
+    ("call_class", "outcome"),
+)
+CALLER_SECONDS = Instrument(
+    "pollenbay_caller_seconds",
+    Kind.HISTOGRAM,
+    "Seconds from a request's arrival to its outcome, by caller.",
+    ("caller",),
+)
+QUEUE_SECONDS = Instrument(
+    "pollenbay_queue_seconds",
+    Kind.HISTOGRAM,
+    "Seconds that a call waited for a slot of the target, by class.",
+    ("call_class",),
+)
+TARGET_SECONDS = Instrument(
+    "pollenbay_target_seconds",
+    Kind.HISTOGRAM,
+    "Seconds that the target took, by class.",
+    ("call_class",),
+)
+REFUSED = Instrument(
+    "pollenbay_refused",
+    Kind.COUNTER,
+    "Calls not run, by class and reason.",
+    ("call_class", "reason"),
+)
+UNKNOWN_OUTCOMES = Instrument(
+    "pollenbay_unknown", Kind.COUNTER, "Calls of unknown outcome, by reason.", ("reason",)
+)
+ATTEMPTS = Instrument(
+    "pollenbay_attempts",
+    Kind.COUNTER,
+    "Attempts made, first ones and retries, by class.",
+    ("call_class", "kind"),
+)
+BAD_INPUT = Instrument(
+    "pollenbay_bad_input", Kind.COUNTER, "Input that broke a protocol, by source.", ("source",)
+)
+STATE_CHANGES = Instrument(
+    "pollenbay_state_changes", Kind.COUNTER, "Changes of state of node and target.", ("state",)
+)
+IN_FLIGHT = Instrument("pollenbay_in_flight", Kind.GAUGE, "Calls that the target is running.")
+LIMIT = Instrument("pollenbay_limit", Kind.GAUGE, "Calls that the target may run at once.")
+QUEUED = Instrument("pollenbay_queued", Kind.GAUGE, "Calls that wait for a slot.")
+RULE_VERSION = Instrument("pollenbay_rule_version", Kind.GAUGE, "Rule version in force.")
+MEMBERS = Instrument("pollenbay_members", Kind.GAUGE, "Instances in view.")
+INSTRUMENTS = (
+    CALL_SECONDS,
+    CALLER_SECONDS,
+    QUEUE_SECONDS,
+    TARGET_SECONDS,
+    REFUSED,
+    UNKNOWN_OUTCOMES,
+    ATTEMPTS,
+    BAD_INPUT,
+    STATE_CHANGES,
+    IN_FLIGHT,
+    LIMIT,
+    QUEUED,
+    RULE_VERSION,
+    MEMBERS,
+)
+
+
+class Counts(Collector):
+    """Offers plain integer attributes of a part as counters.
+
+    :param prefix: start of the names.
+    :param part: object whose integer attributes only grow.
+    :param names: the attributes.
+    """
+
+    def __init__(self, prefix: str, part: object, names: tuple[str, ...]) -> None:
+        self._prefix = prefix
+        self._part = part
+        self._names = names
+
+    def collect(self) -> Iterator[CounterMetricFamily]:
+        """Yield one counter for each attribute."""
+        for name in self._names:
+            text = f"{name.replace('_', ' ').capitalize()}, since the start."
+            yield CounterMetricFamily(f"{self._prefix}_{name}", text, getattr(self._part, name))
+
+
 class Metrics:
     """All instruments of one node in a registry of its own.
 
@@ -24,122 +137,66 @@
     def __init__(self) -> None:
         self._registry = CollectorRegistry()
         self._callers: set[CallerId] = set()
-        self._class_seconds = Histogram(
-            "pollenbay_call_seconds",
-            "Seconds from a request's arrival to its outcome, by class and outcome.",
-            ["call_class", "outcome"],
-            buckets=SECONDS_BUCKETS,
-            registry=self._registry,
-        )
-        self._caller_seconds = Histogram(
-            "pollenbay_caller_seconds",
-            "Seconds from a request's arrival to its outcome, by caller.",
-            ["caller"],
-            buckets=SECONDS_BUCKETS,
-            registry=self._registry,
-        )
-        self._queue_seconds = Histogram(
-            "pollenbay_queue_seconds",
-            "Seconds that a call waited for a slot of the target, by class.",
-            ["call_class"],
-            buckets=SECONDS_BUCKETS,
-            registry=self._registry,
-        )
-        self._target_seconds = Histogram(
-            "pollenbay_target_seconds",
-            "Seconds that the target took, by class.",
-            ["call_class"],
-            buckets=SECONDS_BUCKETS,
-            registry=self._registry,
-        )
-        self._refused = self._counter(
-            "pollenbay_refused_total", "Calls not run, by class and reason.", "call_class", "reason"
-        )
-        self._unknown = self._counter(
-            "pollenbay_unknown_total", "Calls of unknown outcome, by reason.", "reason"
-        )
-        self._attempts = self._counter(
-            "pollenbay_attempts_total", "Attempts made, by class and kind.", "call_class", "kind"
-        )
-        self._bad_input = self._counter(
-            "pollenbay_bad_input_total", "Input that broke a protocol, by source.", "source"
-        )
-        self._state_changes = self._counter(
-            "pollenbay_state_changes_total", "Changes of state of the node, by state.", "state"
-        )
-        self._in_flight = self._gauge("pollenbay_in_flight", "Calls that the target is running.")
-        self._limit = self._gauge("pollenbay_limit", "Calls that the target may run at once.")
-        self._queued = self._gauge("pollenbay_queued", "Calls that wait for a slot.")
-        self._rule_version = self._gauge("pollenbay_rule_version", "Rule version in force.")
-        self._members = self._gauge("pollenbay_members", "Instances in view.")
+        self._instruments = {each: _make(each, self._registry) for each in INSTRUMENTS}
+        self._children: dict[tuple[Instrument, tuple[str, ...]], MetricWrapperBase] = {}
 
     @property
     def registry(self) -> CollectorRegistry:
         """Return the registry that holds the instruments."""
         return self._registry
 
-    @property
-    def in_flight(self) -> Gauge:
-        """Return the gauge of calls that the target is running."""
-        return self._in_flight
+    def set_gauge(self, instrument: Instrument, value: float) -> None:
+        """Set a gauge."""
+        self._instruments[instrument].set(value)
 
-    @property
-    def limit(self) -> Gauge:
-        """Return the gauge of the concurrency limit."""
-        return self._limit
-
-    @property
-    def queued(self) -> Gauge:
-        """Return the gauge of calls that wait."""
-        return self._queued
-
-    @property
-    def rule_version(self) -> Gauge:
-        """Return the gauge of the rule version in force."""
-        return self._rule_version
-
-    @property
-    def members(self) -> Gauge:
-        """Return the gauge of instances in view."""
-        return self._members
+    def add_counts(self, prefix: str, part: object, names: tuple[str, ...]) -> None:
+        """Offer integer attributes of a part as counters."""
+        self._registry.register(Counts(prefix, part, names))
 
     def note_call(
         self, call_class: CallClass | None, outcome: str, caller: CallerId, seconds: float
     ) -> None:
         """Count a request that entered here and has its outcome."""
-        self._class_seconds.labels(_class_label(call_class), outcome).observe(seconds)
-        self._caller_seconds.labels(self._caller_label(caller)).observe(seconds)
+        self._child(CALL_SECONDS, _class_label(call_class), outcome).observe(seconds)
+        self._child(CALLER_SECONDS, self._caller_label(caller)).observe(seconds)
 
     def note_refusal(self, call_class: CallClass | None, reason: Reason) -> None:
         """Count a call that was not run."""
-        self._refused.labels(_class_label(call_class), reason.value).inc()
+        self._child(REFUSED, _class_label(call_class), reason.value).inc()
 
     def note_unknown(self, reason: Reason) -> None:
         """Count a call of unknown outcome."""
-        self._unknown.labels(reason.value).inc()
+        self._child(UNKNOWN_OUTCOMES, reason.value).inc()
 
     def note_attempt(self, call_class: CallClass, retry: bool) -> None:
         """Count an attempt, first or repeated."""
-        self._attempts.labels(call_class.value, "retry" if retry else "first").inc()
+        self._child(ATTEMPTS, call_class.value, "retry" if retry else "first").inc()
 
     def note_queue(self, call_class: CallClass, seconds: float) -> None:
         """Count a wait for a slot."""
-        self._queue_seconds.labels(call_class.value).observe(seconds)
+        self._child(QUEUE_SECONDS, call_class.value).observe(seconds)
 
     def note_target(self, call_class: CallClass, seconds: float) -> None:
         """Count a call that the target has run."""
-        self._target_seconds.labels(call_class.value).observe(seconds)
+        self._child(TARGET_SECONDS, call_class.value).observe(seconds)
 
     def note_bad_input(self, source: str) -> None:
         """Count input that broke a protocol.
 
         :param source: which listener or peer it came from, one of few fixed names.
         """
-        self._bad_input.labels(source).inc()
+        self._child(BAD_INPUT, source).inc()
 
     def note_state(self, state: str) -> None:
         """Count a change of the node's state."""
-        self._state_changes.labels(state).inc()
+        self._child(STATE_CHANGES, state).inc()
+
+    def _child(self, instrument: Instrument, *labels: str) -> MetricWrapperBase:
+        child = self._children.get((instrument, labels))
+        if child is None:
+            child = self._instruments[instrument].labels(*labels)
+            self._children[instrument, labels] = child
+        return child
 
     def _caller_label(self, caller: CallerId) -> str:
         if caller in self._callers:
@@ -149,17 +206,24 @@
         self._callers.add(caller)
         return caller
 
-    def _counter(self, name: str, text: str, *labels: str) -> Counter:
-        return Counter(name, text, labels, registry=self._registry)
-
-    def _gauge(self, name: str, text: str) -> Gauge:
-        return Gauge(name, text, registry=self._registry)
-
 
 def make_metrics() -> Metrics:
     """Return instruments that have counted nothing."""
     return Metrics()
 
 
+def _make(instrument: Instrument, registry: CollectorRegistry) -> MetricWrapperBase:
+    if instrument.kind is Kind.HISTOGRAM:
+        return Histogram(
+            instrument.name,
+            instrument.text,
+            instrument.labels,
+            buckets=SECONDS_BUCKETS,
+            registry=registry,
+        )
+    make = Counter if instrument.kind is Kind.COUNTER else Gauge
+    return make(instrument.name, instrument.text, instrument.labels, registry=registry)
+
+
 def _class_label(call_class: CallClass | None) -> str:
     return NO_CLASS if call_class is None else call_class.value
--- a/src/pollenbay/node.py
+++ b/src/pollenbay/node.py
@@ -74,7 +74,8 @@
     membership = make_membership(
         settings, link_port, view, rulebook, table, timer, adopt, read_rules
     )
-    return Node(
+    ledger = make_ledger(table, settings.instance, membership.incarnation, timer)
+    node = Node(
         settings=settings,
         place=Place(settings.host, settings.zone, settings.region),
         timer=timer,
@@ -86,10 +87,28 @@
         scores=make_scores(),
         budget=make_retry_budget(),
         contexts=make_contexts(),
-        ledger=make_ledger(table, settings.instance, membership.incarnation, timer),
+        ledger=ledger,
         links=make_link_pool(),
         watch=make_watch(),
         membership=membership,
         metrics=make_metrics(),
         random=Random(),
     )
+    _offer_counts(node)
+    return node
+
+
+def _offer_counts(node: Node) -> None:
+    parts = {
+        "pollenbay_claims": node.ledger.counts,
+        "pollenbay_gossip": node.membership.gossip.counts,
+        "pollenbay_traffic": node.membership.traffic,
+    }
+    for prefix, part in parts.items():
+        node.metrics.add_counts(prefix, part, _integer_names(part))
+    node.metrics.add_counts("pollenbay_watch", node.watch, ("left",))
+
+
+def _integer_names(part: object) -> tuple[str, ...]:
+    names = getattr(part, "__slots__", ()) or vars(part)
+    return tuple(name for name in names if isinstance(getattr(part, name), int))
--- /dev/null
+++ b/src/pollenbay/reference.py
@@ -0,0 +1,95 @@
+"""Reference pages for operators, made from the types of the settings and the table of instruments.
+
+Run as ``python -m pollenbay.reference settings`` or ``metrics``.
+"""
+
+from collections.abc import Iterator
+from inspect import cleandoc
+from re import compile as compile_pattern
+
+import click
+from msgspec import NODEFAULT, Struct
+from msgspec.json import encode
+from msgspec.structs import FieldInfo, fields
+
+from pollenbay.metrics import INSTRUMENTS, Instrument
+from pollenbay.settings import Settings
+
+PARAM = compile_pattern(r":param (\w+): ((?:.|\n(?!:))*)")
+SETTINGS_HEAD = """# Settings
+
+Settings of a node, in one YAML file given to `pollenbayd --settings FILE`. `pollenbayd --check`
+tells whether a file is right. A wrong file ends the daemon with exit code 2 and a line that names
+the file, the key and what is expected. This page is made from the schema by
+`python -m pollenbay.reference settings`.
+
+| key | type | default | meaning |
+| --- | --- | --- | --- |
+"""
+METRICS_HEAD = """# Metrics
+
+Served at `/metrics` on the `admin` port, without a token. Label values are bounded: classes,
+outcomes and reasons are enumerations, and callers past the first 50 share the label `other`.
+Counters of claims (`pollenbay_claims_*`), gossip (`pollenbay_gossip_*`, `pollenbay_traffic_*`) and
+calls whose caller has left (`pollenbay_watch_left_total`) stand beside them. This page is made from
+the table of instruments by `python -m pollenbay.reference metrics`.
+
+| name | kind | labels | meaning |
+| --- | --- | --- | --- |
+"""
+
+
+def settings_page() -> str:
+    """Return the page of the settings, in Markdown."""
+    return SETTINGS_HEAD + "".join(_settings_rows(Settings, ""))
+
+
+def metrics_page() -> str:
+    """Return the page of the metrics, in Markdown."""
+    return METRICS_HEAD + "".join(_metric_row(instrument) for instrument in INSTRUMENTS)
+
+
+def _metric_row(instrument: Instrument) -> str:
+    labels = ", ".join(f"`{label}`" for label in instrument.labels)
+    return f"| `{instrument.name}` | {instrument.kind.value} | {labels} | {instrument.text} |\n"
+
+
+def _settings_rows(struct: type[Struct], prefix: str) -> Iterator[str]:
+    meanings = _meanings(struct)
+    for field in fields(struct):
+        key = prefix + field.encode_name
+        if isinstance(field.type, type) and issubclass(field.type, Struct):
+            yield from _settings_rows(field.type, f"{key}.")
+        else:
+            meaning = meanings.get(field.name, "")
+            yield f"| `{key}` | {_type_name(field)} | {_default(field)} | {meaning} |\n"
+
+
+def _meanings(struct: type[Struct]) -> dict[str, str]:
+    text = cleandoc(struct.__doc__ or "")
+    return {name: " ".join(meaning.split()) for name, meaning in PARAM.findall(text)}
+
+
+def _type_name(field: FieldInfo) -> str:
+    base = getattr(field.type, "__supertype__", field.type)
+    if base == tuple[str, ...]:
+        return "list of text"
+    return {str: "text", int: "integer", float: "number", bool: "true or false"}[base]
+
+
+def _default(field: FieldInfo) -> str:
+    if field.default is NODEFAULT:
+        return "required"
+    return f"`{encode(field.default).decode('utf-8')}`"
+
+
+@click.command()
+@click.argument("page", type=click.Choice(["settings", "metrics"]))
+def main(page: str) -> None:
+    """Print a reference page."""
+    pages = {"settings": settings_page, "metrics": metrics_page}
+    click.echo(pages[page](), nl=False)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/pollenbay/settings.py
+++ b/src/pollenbay/settings.py
@@ -1,5 +1,10 @@
 """Settings of a node: a YAML file checked against types, with errors that name file and key."""
 
+from collections.abc import Iterator
+from ipaddress import IPv4Address
+from itertools import chain
+from logging import getLevelNamesMapping
+from math import inf
 from pathlib import Path
 
 from msgspec import Struct, ValidationError, convert, field
@@ -15,7 +20,7 @@
 CALLER_IDLE_S = 75.0
 CALLER_CONNECTIONS = 4096
 PORT_MAX = 65535
-TOKEN_BYTES_MIN = 16
+TOKEN_LENGTH_MIN = 16
 
 
 class SettingsError(Exception):
@@ -33,11 +38,11 @@
 class Ports(Struct, frozen=True, forbid_unknown_fields=True):
     """TCP ports of a node; 0 lets the system choose.
 
-    :param callers: HTTP of outside callers.
-    :param outbound: HTTP of the target beside the node: its own calls and its announcements.
-    :param link: calls from other nodes.
-    :param gossip: heartbeats from other nodes.
-    :param admin: HTTP of operators, health and metrics.
+    :param callers: port for HTTP of outside callers.
+    :param outbound: port for HTTP of the target beside the node: its own calls and announcements.
+    :param link: port for calls from other nodes.
+    :param gossip: port for heartbeats from other nodes.
+    :param admin: port for HTTP of operators, health and metrics.
     """
 
     callers: int = 0
@@ -50,6 +55,8 @@
 class TableSettings(Struct, frozen=True, forbid_unknown_fields=True):
     """Where the platform's table service is.
 
+    :param address: IP number of the table service.
+    :param port: its TCP port.
     :param timeout_s: seconds after which an answer counts as lost.
     """
 
@@ -75,6 +82,9 @@
     """Everything a node is told when it starts.
 
     :param instance: name of the instance; stays the same when it is replaced.
+    :param host: name of the host.
+    :param zone: availability zone of the host.
+    :param region: region of the zone.
     :param service: service of the target beside the node.
     :param address: IP number at which the node listens and others reach it.
     :param admin_token: bearer token of operators, of 16 characters or more.
@@ -125,12 +135,62 @@
 
 
 def _find_problem(settings: Settings) -> str | None:
-    for name in Ports.__struct_fields__:
-        if not 0 <= getattr(settings.ports, name) <= PORT_MAX:
-            return f"expected a port from 0 to {PORT_MAX} - at `$.ports.{name}`"
-    if len(settings.admin_token) < TOKEN_BYTES_MIN:
-        return f"expected {TOKEN_BYTES_MIN} characters or more - at `$.admin_token`"
-    for name in ("drain_s", "leave_s"):
-        if getattr(settings, name) < 0:
-            return f"expected 0 or more - at `$.{name}`"
-    return None
+    """Return the first problem that the types cannot express, or None."""
+    problems = chain(
+        _address_problems(settings),
+        _port_problems(settings),
+        _range_problems(settings),
+        _text_problems(settings),
+    )
+    return next(problems, None)
+
+
+def _address_problems(settings: Settings) -> Iterator[str]:
+    addresses = {"address": settings.address, "table.address": settings.table.address}
+    for key, address in addresses.items():
+        if not _is_address(address):
+            yield f"expected an IPv4 number - at `$.{key}`"
+    for number, peer in enumerate(settings.peers):
+        address, _, port = peer.rpartition(":")
+        if not _is_address(address) or not port.isdigit() or int(port) > PORT_MAX:
+            yield f"expected ADDRESS:PORT - at `$.peers[{number}]`"
+
+
+def _port_problems(settings: Settings) -> Iterator[str]:
+    ports = {f"ports.{name}": getattr(settings.ports, name) for name in Ports.__struct_fields__}
+    for key, port in {**ports, "table.port": settings.table.port}.items():
+        if not 0 <= port <= PORT_MAX:
+            yield f"expected a port from 0 to {PORT_MAX} - at `$.{key}`"
+
+
+def _range_problems(settings: Settings) -> Iterator[str]:
+    more_than_zero = {
+        "table.timeout_s": settings.table.timeout_s,
+        "limits.body_bytes": settings.limits.body_bytes,
+        "limits.caller_connections": settings.limits.caller_connections,
+        "limits.caller_idle_s": settings.limits.caller_idle_s,
+    }
+    for key, value in more_than_zero.items():
+        if not 0 < value < inf:
+            yield f"expected more than 0 - at `$.{key}`"
+    for key, value in {"drain_s": settings.drain_s, "leave_s": settings.leave_s}.items():
+        if not 0 <= value < inf:
+            yield f"expected 0 or more - at `$.{key}`"
+
+
+def _text_problems(settings: Settings) -> Iterator[str]:
+    for key in ("instance", "host", "zone", "region", "service"):
+        if not getattr(settings, key):
+            yield f"expected a name - at `$.{key}`"
+    if len(settings.admin_token) < TOKEN_LENGTH_MIN:
+        yield f"expected {TOKEN_LENGTH_MIN} characters or more - at `$.admin_token`"
+    if settings.log_level not in getLevelNamesMapping():
+        yield "expected a level such as INFO - at `$.log_level`"
+
+
+def _is_address(text: str) -> bool:
+    try:
+        IPv4Address(text)
+    except ValueError:
+        return False
+    return True
--- a/src/pollenbay/watch.py
+++ b/src/pollenbay/watch.py
@@ -36,7 +36,7 @@
 
     def __init__(self) -> None:
         self._watched: dict[int, Watched] = {}
-        self._left_total = 0
+        self._left = 0
 
     @property
     def in_progress(self) -> int:
@@ -44,9 +44,9 @@
         return len(self._watched)
 
     @property
-    def left_total(self) -> int:
+    def left(self) -> int:
         """Return how many calls were ended because their caller had left."""
-        return self._left_total
+        return self._left
 
     @contextmanager
     def over(self, watched: Watched) -> Iterator[None]:
@@ -73,7 +73,7 @@
         for descriptor, _ in poller.poll(0):
             watched = self._watched[descriptor]
             if watched.passage.cancellable:
-                self._left_total += 1
+                self._left += 1
                 await watched.task.cancel(blocking=False)
 
     def _send_progress(self) -> None:
