Never tell "not run" after an attempt that may have run

Cause: after an unknown first attempt of an idempotent call a refused retry was the last outcome, and the caller was told not-run although the call may have run. Found by reading. Change: the refusal of a later attempt does not replace what an earlier one left. Test: tests/test_outcomes.py, red with the old rule (1 failed, 4 passed), green with the new.

--- a/src/pollenbay/commands/calling.py
+++ b/src/pollenbay/commands/calling.py
@@ -13,7 +13,7 @@
 from pollenbay.node import Node
 from pollenbay.outcome import Answered, NotRun, Outcome, Unknown
 from pollenbay.queries.pressure import refuse_at_entry
-from pollenbay.queries.retry import is_retriable
+from pollenbay.queries.retry import is_retriable, outcome_to_tell
 from pollenbay.queries.rules import find_call
 from pollenbay.rule import CallRule
 from pollenbay.score import AttemptResult
@@ -56,17 +56,19 @@
 ) -> Outcome:
     excluded: frozenset[InstanceId] = frozenset()
     note_first(node.budget, call.call_class, node.timer.now())
+    told: Outcome | None = None
     retries = 0
     while True:
         member = _choose(node, call, excluded)
         if member is None:
-            return NotRun(Reason.NO_TARGET, RETRY_AFTER_S)
+            return outcome_to_tell(NotRun(Reason.NO_TARGET, RETRY_AFTER_S), told)
         node.metrics.note_attempt(call.call_class, retries > 0)
         outcome = await _attempt(node, call, rule, account, passage, member)
+        told = outcome_to_tell(outcome, told)
         if not is_retriable(outcome, rule) or not _has_time(node, call):
-            return outcome
+            return told
         if not take_retry(account, node.budget, call.call_class, node.timer.now()):
-            return outcome
+            return told
         excluded = excluded | {member.instance}
         await sleep(_backoff_s(node, retries))
         retries += 1
--- a/src/pollenbay/queries/retry.py
+++ b/src/pollenbay/queries/retry.py
@@ -38,3 +38,19 @@
 @is_retriable.register
 def _(outcome: Unknown, rule: CallRule) -> bool:
     return rule.idempotent
+
+
+@singledispatch
+def outcome_to_tell(last: Outcome, earlier: Outcome | None) -> Outcome:
+    """Return what may be told of a call after its last attempt.
+
+    A refused attempt does not make a call "not run" if an earlier one may have run.
+
+    :param earlier: what could be told before that attempt; None before the first.
+    """
+    return last
+
+
+@outcome_to_tell.register
+def _(last: NotRun, earlier: Outcome | None) -> Outcome:
+    return last if earlier is None or isinstance(earlier, NotRun) else earlier
