--- a/src/pollenbay/adminclient.py
+++ b/src/pollenbay/adminclient.py
@@ -22,6 +22,7 @@
 ANSWER_TIMEOUT_S = 30.0
 TOKEN_FILE_BYTES_MAX = 4096
 STATUS_UNAUTHORIZED = 401
+STATUS_SERVER_ERROR = 500
 
 _Answer = TypeVar("_Answer")
 
@@ -50,6 +51,10 @@
     """The node could not carry out the request, and says why."""
 
 
+class AdminRequestError(AdminProblemError):
+    """The node does not know what was asked, as one of another version might not."""
+
+
 class AdminAddress(Struct, frozen=True):
     """Where a node's administration API is, and the token for it.
 
@@ -149,4 +154,5 @@
         problem = decode(response.body, type=Problem)
     except (DecodeError, ValidationError):
         return AdminLostError(f"status {response.status}, and the answer is not known: {decoding}")
-    return AdminProblemError(f"status {response.status}: {problem.error}")
+    kind = AdminProblemError if response.status >= STATUS_SERVER_ERROR else AdminRequestError
+    return kind(f"status {response.status}: {problem.error}")
--- a/src/pollenbay/printout.py
+++ b/src/pollenbay/printout.py
@@ -8,7 +8,12 @@
 from msgspec.json import encode, format
 from yaml import safe_dump
 
-from pollenbay.adminclient import AdminAddressError, AdminClientError, AdminTokenError
+from pollenbay.adminclient import (
+    AdminAddressError,
+    AdminClientError,
+    AdminRequestError,
+    AdminTokenError,
+)
 from pollenbay.commands.life import DrainBegun
 from pollenbay.finding import Finding
 from pollenbay.publication import Accepted, Invalid, NotWritten, Refused, Unsettled
@@ -241,6 +246,7 @@
 
 
 @exit_code.register(AdminAddressError)
+@exit_code.register(AdminRequestError)
 @exit_code.register(AdminTokenError)
 def _(value: AdminClientError) -> ExitCode:
     return ExitCode.BAD_INPUT
