--- a/src/pollenbay/score.py
+++ b/src/pollenbay/score.py
@@ -26,13 +26,13 @@
 
     :param outstanding: attempts under way.
     :param latency_s: smoothed seconds of answered attempts; 0 if not known.
-    :param measured_at: monotonic seconds of the last answered attempt.
+    :param measured_at: monotonic seconds of the end of the last attempt that told something.
     :param success: smoothed part of the attempts that did not fail, from 0 to 1.
     :param refused: smoothed part of the attempts that were refused, from 0 to 1.
     :param failures: failures in a row.
-    :param ejections: ejections in a row, without a success between them.
+    :param ejections: ejections since it was last trusted.
     :param ejected_until: monotonic seconds; 0 if not ejected.
-    :param probing: whether it has to answer one attempt before it is trusted again.
+    :param probes: attempts answered since the ejection was over, which end it.
     """
 
     incarnation: Incarnation
@@ -44,7 +44,7 @@
     failures: int = 0
     ejections: int = 0
     ejected_until: float = 0.0
-    probing: bool = False
+    probes: int = 0
 
 
 @dataclass(slots=True)
@@ -53,7 +53,7 @@
 
     :param changes: change counter of the service when the lists were made.
     :param made_at: monotonic seconds.
-    :param near: those of the nearest zone that has any.
+    :param near: those at the least distance: on this host, else in this zone and so on.
     :param subset: those that are called; holds `near`.
     :param spare: serving ones outside the subset.
     :param suspects: those that may be dead, the last resort.
@@ -73,6 +73,7 @@
     def __init__(self) -> None:
         self._scores: dict[InstanceId, Score] = {}
         self._candidates: dict[tuple[ServiceName, HostId], Candidates] = {}
+        self._typical_s: dict[ServiceName, float] = {}
 
     @property
     def scores(self) -> dict[InstanceId, Score]:
@@ -84,6 +85,11 @@
         """Return the candidates by service and host of the origin."""
         return self._candidates
 
+    @property
+    def typical_s(self) -> dict[ServiceName, float]:
+        """Return the smoothed latency of each service in seconds."""
+        return self._typical_s
+
 
 def make_scores() -> Scores:
     """Return scores with nothing measured."""
