--- a/src/pollenbay/endpoint.py
+++ b/src/pollenbay/endpoint.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from enum import Enum
 from typing import TypeVar
-from urllib.parse import parse_qs, urlsplit
+from urllib.parse import parse_qs
 
 from msgspec import DecodeError, Struct, ValidationError
 from msgspec.json import decode
@@ -14,11 +14,15 @@
 from pollenbay.commands.publication import Publish
 from pollenbay.commands.settlement import Settle
 from pollenbay.http1 import HttpRequest
+from pollenbay.ids import RuleVersion
 from pollenbay.queries.health import ShowHealth, ShowMetrics, ShowReadiness
 from pollenbay.queries.history import HISTORY_DEFAULT_ENTRIES, HISTORY_MAX_ENTRIES, ShowHistory
+from pollenbay.queries.rollout import ShowRollout
 from pollenbay.queries.rules import ShowRules
 from pollenbay.queries.status import ShowMembers, ShowStatus
 
+VERSION_MAX = 9_999_999_999
+
 _Body = TypeVar("_Body")
 
 
@@ -87,17 +91,30 @@
 
 
 def _read_history(request: HttpRequest) -> ShowHistory:
-    query = urlsplit(request.target.decode("latin-1")).query
+    limit = _read_number(request, "limit", 1, HISTORY_MAX_ENTRIES)
+    return ShowHistory(HISTORY_DEFAULT_ENTRIES if limit is None else limit)
+
+
+def _read_rollout(request: HttpRequest) -> ShowRollout:
+    version = _read_number(request, "version", 1, VERSION_MAX)
+    if version is None:
+        raise BadRequestError("expected the parameter version")
+    return ShowRollout(RuleVersion(version))
+
+
+def _read_number(request: HttpRequest, name: str, low: int, high: int) -> int | None:
+    query = request.target.decode("latin-1").partition("?")[2]
     values = parse_qs(query, keep_blank_values=True)
-    unknown = sorted(values.keys() - {"limit"})
+    unknown = sorted(values.keys() - {name})
     if unknown:
-        raise BadRequestError(f"unknown parameter {unknown[0]!r}, expected limit")
-    text = values.get("limit", [str(HISTORY_DEFAULT_ENTRIES)])[-1]
-    if not (text.isascii() and text.isdigit() and len(text) <= len(str(HISTORY_MAX_ENTRIES))):
-        raise BadRequestError(f"expected limit from 1 to {HISTORY_MAX_ENTRIES}, got {text!r}")
-    if not 1 <= int(text) <= HISTORY_MAX_ENTRIES:
-        raise BadRequestError(f"expected limit from 1 to {HISTORY_MAX_ENTRIES}, got {text}")
-    return ShowHistory(int(text))
+        raise BadRequestError(f"unknown parameter {unknown[0]!r}, expected {name}")
+    if name not in values:
+        return None
+    text = values[name][-1]
+    digits = text.isascii() and text.isdigit() and len(text) <= len(str(high))
+    if not digits or not low <= int(text) <= high:
+        raise BadRequestError(f"expected {name} from {low} to {high}, got {text!r}")
+    return int(text)
 
 
 def _read_publish(request: HttpRequest) -> Publish:
@@ -136,6 +153,7 @@
     "/v1/members": _query(ShowMembers),
     "/v1/rules": _query(ShowRules),
     "/v1/history": Endpoint(b"GET", Kind.QUERY, True, _read_history),
+    "/v1/rollout": Endpoint(b"GET", Kind.QUERY, True, _read_rollout),
     "/v1/publish": _command(_read_publish),
     "/v1/settle": _command(_read_settle),
     "/v1/drain": _command(_read_drain),
--- a/src/pollenbay/publishing.py
+++ b/src/pollenbay/publishing.py
@@ -11,11 +11,10 @@
 from pollenbay.commands.settlement import Settle
 from pollenbay.ids import PublicationId, RuleVersion
 from pollenbay.publication import PublicationOutcome, Unsettled
-from pollenbay.queries.status import Status
-from pollenbay.rollout import Rollout, make_rollout
+from pollenbay.queries.rollout import Rollout
 
 SETTLE_PERIOD_S = 0.5
-ROLLOUT_PERIOD_S = 0.25
+ROLLOUT_PERIOD_S = 0.5
 
 
 class PublishReport(Struct, frozen=True, kw_only=True):
@@ -73,8 +72,7 @@
     """
     deadline = monotonic() + wait_s
     while True:
-        status = await client.get("/v1/status", Status)
-        result = status.map(lambda seen: make_rollout(version, seen))
+        result = await client.get(f"/v1/rollout?version={version}", Rollout)
         if isinstance(result, Ok) and result.ok_value.complete:
             return result
         if monotonic() + ROLLOUT_PERIOD_S > deadline:
--- a/src/pollenbay/queries/survey.py
+++ b/src/pollenbay/queries/survey.py
@@ -1,4 +1,6 @@
-"""Asking every member for its own report, when the gossip's reports are too old or too few."""
+"""Asking members for their own reports, when the gossip's reports are too old or too few."""
+
+from collections.abc import Iterable
 
 from curio import Semaphore, TaskGroup
 
@@ -12,13 +14,18 @@
 CONCURRENT_QUESTIONS = 32
 
 
-async def ask_reports(membership: Membership) -> dict[InstanceId, Report | None]:
+async def ask_reports(
+    membership: Membership, instances: Iterable[InstanceId] | None = None
+) -> dict[InstanceId, Report | None]:
     """Return the report of each member that is not dead; None of those that do not answer.
 
     It opens a connection to each, so it is meant for operators' questions only.
+
+    :param instances: ask these only; None asks all.
     """
     gate = Semaphore(CONCURRENT_QUESTIONS)
-    members = list(membership.view.members.values())
+    known = membership.view.members
+    members = [known[each] for each in (known if instances is None else instances)]
     reports: dict[InstanceId, Report | None] = {}
 
     async def ask(instance: InstanceId, endpoints: Endpoints) -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -7,8 +7,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
-
 from membership_double import clock_at, member_for, record_for, view_of
+
 from pollenbay.commands.heartbeat import (
     absorb_bucket,
     absorb_heartbeat,
