--- a/src/pollenbay/commands/settlement.py
+++ b/src/pollenbay/commands/settlement.py
@@ -132,7 +132,7 @@
     if record.state is PublicationState.WITHDRAWN:
         return "it was not published and has been withdrawn"
     if record.version == 0:
-        return "other publications kept coming first"
+        return "others published first, or the table's reads lag; it was not published"
     return f"{record.author} published version {record.version} first"
 
 
--- a/tests/test_tool.py
+++ b/tests/test_tool.py
@@ -248,9 +248,10 @@
         assert ran.code == ExitCode.DONE
         assert ran.json["outcome"]["version"] == version + 1 == operator.version()
 
-    def test_table_down(self, operator: _Operator) -> None:
+    @pytest.mark.parametrize("fault", [{"mode": "down"}, {"mode": "slow", "delay_s": 2.0}])
+    def test_table_down_or_slow(self, operator: _Operator, fault: dict[str, Any]) -> None:
         version = operator.version()
-        control(operator.cluster.platform, mode="down")
+        control(operator.cluster.platform, **fault)
         try:
             ran = operator.publish(operator.cluster["docs-1"].admin, 302)
             history = operator.ask("docs-1", "history")
@@ -261,6 +262,18 @@
         assert history.code == ExitCode.UNREACHABLE
         assert operator.version() == version
 
+    def test_stale_reads_of_the_table(self, operator: _Operator) -> None:
+        version = operator.version()
+        control(operator.cluster.platform, mode="stale-reads")
+        try:
+            first = operator.publish(operator.cluster["docs-1"].admin, 306)
+            second = operator.publish(operator.cluster["docs-1"].admin, 307)
+        finally:
+            control(operator.cluster.platform, mode="up")
+        assert first.code == ExitCode.DONE
+        assert second.code == ExitCode.REFUSED
+        assert first.json["outcome"]["version"] == version + 1 == operator.version()
+
     def test_answer_of_the_node_lost(self, operator: _Operator) -> None:
         version = operator.version()
         proxy = operator.cluster.processes.start_proxy(operator.cluster["docs-1"].admin)
