--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -10,6 +10,7 @@
 from msgspec.json import decode, encode
 from stepped_table import Fault, drive
 
+from pollenbay import admin
 from pollenbay.admin import BODY_LIMIT_BYTES, respond, serve_admin
 from pollenbay.http1 import HttpRequest, HttpResponse
 from pollenbay.node import Node
@@ -248,6 +249,12 @@
         assert answer.startswith(b"HTTP/1.1 " + status)
         assert b"connection: close" in answer.lower()
 
+    def test_request_that_stops_short_does_not_hold_the_connection(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(admin, "REQUEST_TIMEOUT_S", 0.2)
+        assert _exchange(b"GET /healthz HTTP/1.1\r\nhost:", None, 1) == b""
+
     def test_client_that_goes_away_harms_nobody(self) -> None:
         node = make_admin_node()
 
