--- a/src/pollenbay/membership.py
+++ b/src/pollenbay/membership.py
@@ -140,7 +140,7 @@
             incarnation=incarnation,
             service=settings.service,
             place=Place(settings.host, settings.zone, settings.region),
-            endpoints=Endpoints(settings.address, link_port, server.port),
+            endpoints=_endpoints(settings, link_port, server.port),
             state=MemberState.STARTING,
             heard_at=now,
             first_seen_at=now,
@@ -160,3 +160,8 @@
         server=server,
         rng=rng or Random(),
     )
+
+
+def _endpoints(settings: Settings, link_port: int, gossip_port: int) -> Endpoints:
+    told = settings.advertised
+    return Endpoints(settings.address, told.link or link_port, told.gossip or gossip_port)
--- a/src/pollenbay/settings.py
+++ b/src/pollenbay/settings.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from msgspec import Struct, ValidationError, convert, field
+from msgspec.structs import asdict
 from result import Err, Ok, Result
 from yaml import YAMLError, safe_load
 
@@ -52,6 +53,17 @@
     admin: int = 0
 
 
+class AdvertisedPorts(Struct, frozen=True, forbid_unknown_fields=True):
+    """Ports at which others reach a node, where these are not the ones it listens at; 0 if so.
+
+    :param link: port told to other nodes for calls; 0 for `ports.link`.
+    :param gossip: port told to other nodes for heartbeats; 0 for `ports.gossip`.
+    """
+
+    link: int = 0
+    gossip: int = 0
+
+
 class TableSettings(Struct, frozen=True, forbid_unknown_fields=True):
     """Where the platform's table service is.
 
@@ -103,6 +115,7 @@
     table: TableSettings
     admin_token: str
     ports: Ports = field(default_factory=Ports)
+    advertised: AdvertisedPorts = field(default_factory=AdvertisedPorts)
     limits: Limits = field(default_factory=Limits)
     peers: tuple[str, ...] = ()
     drain_s: float = DRAIN_S
@@ -157,8 +170,9 @@
 
 
 def _port_problems(settings: Settings) -> Iterator[str]:
-    ports = {f"ports.{name}": getattr(settings.ports, name) for name in Ports.__struct_fields__}
-    for key, port in {**ports, "table.port": settings.table.port}.items():
+    ports = {f"ports.{name}": port for name, port in asdict(settings.ports).items()}
+    told = {f"advertised.{name}": port for name, port in asdict(settings.advertised).items()}
+    for key, port in {**ports, **told, "table.port": settings.table.port}.items():
         if not 0 <= port <= PORT_MAX:
             yield f"expected a port from 0 to {PORT_MAX} - at `$.{key}`"
 
