--- a/src/pollenbay/commands/gossiping.py
+++ b/src/pollenbay/commands/gossiping.py
@@ -90,6 +90,7 @@
         if changes != membership.view.total_changes:
             changes = membership.view.total_changes
             update_peers(membership.gossip, membership.view, now)
+        _note_ready(membership)
         await _keep_peers(membership)
         await push_urgent(membership)
         await ticks.wait()
@@ -106,6 +107,19 @@
         LOG.info("joined by a peer", extra={"members": len(membership.view.members)})
 
 
+def _note_ready(membership: Membership) -> None:
+    """Settle whether the node may serve: the table and its peers were asked for newer rules.
+
+    Peers are chosen for the present view when this is called.
+    """
+    if membership.ready or not membership.joined or not membership.table_asked:
+        return
+    if membership.newer or not membership.asked.issuperset(membership.gossip.chosen):
+        return
+    membership.ready = True
+    LOG.info("ready", extra={"rule_version": membership.rulebook.version})
+
+
 async def _keep_peers(membership: Membership) -> None:
     for instance, task in list(membership.peers.items()):
         if task.terminated:
--- a/src/pollenbay/commands/pulling.py
+++ b/src/pollenbay/commands/pulling.py
@@ -4,6 +4,7 @@
 
 from curio import check_cancellation
 
+from pollenbay.commands.heartbeat import renew_report
 from pollenbay.ids import InstanceId
 from pollenbay.membership import Membership, RuleSource
 from pollenbay.news import Heartbeat, RulesAnswer
@@ -65,6 +66,7 @@
     after = membership.rulebook.version
     if after == before:
         return False
+    renew_report(membership.gossip, membership.view, membership.rulebook)
     LOG.info("rules adopted", extra={"before": before, "after": after})
     for ticks in list(membership.ticks.values()):
         await ticks.fire()
--- a/src/pollenbay/membership.py
+++ b/src/pollenbay/membership.py
@@ -58,6 +58,7 @@
     :param newer: nodes that have newer rules.
     :param newer_event: set when `newer` grows.
     :param table_asked: whether the table was asked for rules once, with or without success.
+    :param ready: whether the node has joined and holds the newest rules that it was told of.
     :param problem: why the node has not joined; None once it has.
     """
 
@@ -79,6 +80,7 @@
     newer: dict[InstanceId, RuleSource] = field(default_factory=dict)
     newer_event: Event = field(default_factory=Event)
     table_asked: bool = False
+    ready: bool = False
     problem: JoinProblem | None = JoinProblem.NOT_TRIED
 
     @property
@@ -101,12 +103,6 @@
         """Tell whether the node has found the others, or that there are none."""
         return self.problem is None
 
-    @property
-    def ready(self) -> bool:
-        """Tell whether the node has joined and has the newest rules that it was told of."""
-        peers_asked = self.asked.issuperset(self.gossip.chosen)
-        return self.joined and self.table_asked and peers_asked and not self.newer
-
     def clock(self) -> Clock:
         """Return this moment."""
         return Clock(self.timer.now(), int(self.timer.epoch() * MS_PER_S))
--- a/src/pollenbay/peer.py
+++ b/src/pollenbay/peer.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 from curio import check_cancellation, disable_cancellation
 from pynng import Context, Rep0, Req0
@@ -41,6 +42,10 @@
     """The port could not be opened."""
 
 
+class PeerClosedError(PeerError):
+    """The port was closed while it was served."""
+
+
 class PeerSilentError(PeerError):
     """No answer came in time."""
 
@@ -136,7 +141,10 @@
         return self._port
 
     async def serve(self, respond: Callable[[Question], Awaitable[Answer]]) -> None:
-        """Answer one question after another until cancelled; run `SERVING_TASKS` of these."""
+        """Answer one question after another until cancelled; run `SERVING_TASKS` of these.
+
+        :raises PeerClosedError: if the port was closed.
+        """
         context = self._sock.new_context()
         try:
             while True:
@@ -145,7 +153,7 @@
                 if data is not None:
                     await self._serve_one(context, data, respond)
         finally:
-            context.close()
+            _close_context(context)
 
     def close(self) -> None:
         """Close the port and all connections."""
@@ -200,6 +208,13 @@
             return await context.arecv()
     except Timeout:
         return None
+    except NNGException as error:
+        raise PeerClosedError(str(error)) from error
+
+
+def _close_context(context: Context) -> None:
+    with suppress(NNGException):
+        context.close()
 
 
 def _read_answer(data: bytes) -> Answer:
--- /dev/null
+++ b/tests/member_node.py
@@ -0,0 +1,217 @@
+"""A process that runs a membership alone, for tests with real processes and for measurements.
+
+It writes a JSON line to its log whenever its view or its rules have changed, and one each second.
+SIGUSR1 makes it adopt one more version of the rules, as if it had been published here.
+"""
+
+from pathlib import Path
+from random import Random
+from resource import RUSAGE_SELF, getrusage
+from signal import SIGTERM, SIGUSR1
+
+import click
+from curio import SignalEvent, TaskGroup, run, sleep
+from msgspec import Struct
+from msgspec.json import encode
+
+from pollenbay.commands.adoption import adopt
+from pollenbay.commands.gossiping import announce_leaving, announce_serving, run_membership
+from pollenbay.commands.pulling import adopt_rules
+from pollenbay.gossip import GossipCounts
+from pollenbay.ids import (
+    CallName,
+    HostId,
+    Incarnation,
+    InstanceId,
+    OperatorId,
+    RegionId,
+    RuleVersion,
+    ServiceName,
+    ZoneId,
+)
+from pollenbay.membership import Membership, make_membership
+from pollenbay.queries.membership import holds_lease
+from pollenbay.queries.rules import read_current
+from pollenbay.rule import CallRule, ServiceRule
+from pollenbay.rulebook import make_rulebook
+from pollenbay.rulerow import make_rule_set
+from pollenbay.settings import Settings, TableSettings
+from pollenbay.states import CallClass, MemberState
+from pollenbay.table import make_table
+from pollenbay.timer import make_timer
+from pollenbay.view import make_view
+
+ADDRESS = "127.0.0.1"
+LOOK_S = 0.1
+LEAVE_S = 2.5
+SERVICES = 8
+
+
+class Ready(Struct):
+    """First line on standard output."""
+
+    ready: bool
+    port: int
+
+
+class Belief(Struct):
+    """What the node believes of one member, and since when on the system's monotonic clock."""
+
+    state: MemberState
+    incarnation: Incarnation
+    since: float
+
+
+class Line(Struct):
+    """One line of the log.
+
+    :param at: seconds on the system's monotonic clock.
+    :param adopted_at: when the rules came into force, in seconds since the epoch.
+    :param cpu_s: processor time used since the start.
+    """
+
+    at: float
+    incarnation: Incarnation
+    ready: bool
+    lease: bool
+    isolated: bool
+    version: RuleVersion
+    adopted_at: float
+    cpu_s: float
+    sent_bytes: int
+    received_bytes: int
+    messages: int
+    contacts: int
+    counts: GossipCounts
+    members: dict[InstanceId, Belief]
+
+
+@click.command()
+@click.option("--instance", required=True)
+@click.option("--zone", default="z1")
+@click.option("--region", default="r1")
+@click.option("--table-port", type=int, default=1)
+@click.option("--peer", "peers", multiple=True)
+@click.option("--log", "log_path", type=click.Path(path_type=Path), required=True)
+def main(
+    instance: str,
+    zone: str,
+    region: str,
+    table_port: int,
+    peers: tuple[str, ...],
+    log_path: Path,
+) -> None:
+    """Run until SIGTERM."""
+    settings = Settings(
+        instance=InstanceId(instance),
+        host=HostId(f"host-{instance}"),
+        zone=ZoneId(zone),
+        region=RegionId(region),
+        service=ServiceName("stock"),
+        address=ADDRESS,
+        table=TableSettings(ADDRESS, table_port),
+        admin_token="0123456789abcdef",
+        peers=peers,
+    )
+    run(serve, settings, log_path)
+
+
+async def serve(settings: Settings, log_path: Path) -> None:
+    """Run the membership, its log and its signals."""
+    timer = make_timer()
+    membership = make_membership(
+        settings,
+        1,
+        make_view(),
+        make_rulebook(),
+        make_table(settings.table.address, settings.table.port),
+        timer,
+        adopt,
+        read_current,
+        Random(settings.instance),
+    )
+    print(encode(Ready(True, membership.gossip_port)).decode(), flush=True)
+    async with TaskGroup(wait=any) as group:
+        await group.spawn(timer.run)
+        await group.spawn(run_membership, membership)
+        await group.spawn(write_log, membership, log_path)
+        await group.spawn(publish_when_asked, membership)
+        await group.spawn(leave_when_asked, membership)
+
+
+async def write_log(membership: Membership, path: Path) -> None:
+    """Write a line at each change, and each second."""
+    announce_serving(membership)
+    last: tuple[int, int, bool] | None = None
+    written_at = 0.0
+    with path.open("ab", buffering=0) as file:
+        while True:
+            now = membership.timer.now()
+            present = (
+                membership.view.total_changes,
+                membership.rulebook.version,
+                membership.ready,
+            )
+            if present != last or now - written_at >= 1.0:
+                file.write(encode(line_of(membership, now)) + b"\n")
+                last, written_at = present, now
+            await sleep(LOOK_S)
+
+
+async def leave_when_asked(membership: Membership) -> None:
+    """Announce leaving at SIGTERM, and end a while later."""
+    await SignalEvent(SIGTERM).wait()
+    announce_leaving(membership)
+    await sleep(LEAVE_S)
+
+
+async def publish_when_asked(membership: Membership) -> None:
+    """Adopt one more version at each SIGUSR1."""
+    asked = SignalEvent(SIGUSR1)
+    while True:
+        await asked.wait()
+        asked.clear()
+        await adopt_rules(membership, next_rules(membership))
+
+
+def next_rules(membership: Membership):
+    """Return rules one version above those in force, of which one service differs."""
+    version = RuleVersion(membership.rulebook.version + 1)
+    services = tuple(service_of(number, version) for number in range(SERVICES))
+    return make_rule_set(version, services, OperatorId("op"), membership.timer.epoch())
+
+
+def service_of(number: int, version: RuleVersion) -> ServiceRule:
+    """Return a service whose rules change when the version passes its number."""
+    wait_ms = 1000 + (version if number == version % SERVICES else 0)
+    call = CallRule(name=CallName("c"), call_class=CallClass.NORMAL, wait_ms=wait_ms)
+    return ServiceRule(service=ServiceName(f"s{number}"), calls=(call,))
+
+
+def line_of(membership: Membership, now: float) -> Line:
+    """Return the present state."""
+    usage = getrusage(RUSAGE_SELF)
+    traffic = membership.traffic
+    return Line(
+        at=now,
+        incarnation=membership.incarnation,
+        ready=membership.ready,
+        lease=holds_lease(membership.gossip, now),
+        isolated=membership.gossip.isolated,
+        version=membership.rulebook.version,
+        adopted_at=membership.rulebook.adopted_at,
+        cpu_s=usage.ru_utime + usage.ru_stime,
+        sent_bytes=traffic.sent_bytes,
+        received_bytes=traffic.received_bytes,
+        messages=2 * (traffic.questions_sent + traffic.questions_served),
+        contacts=len(membership.gossip.contacts),
+        counts=membership.gossip.counts,
+        members={
+            name: Belief(member.state, member.incarnation, member.state_at)
+            for name, member in membership.view.members.items()
+        },
+    )
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -203,6 +203,14 @@
         assert gossip.counts.declared_dead == 0
         assert not any(gossip.outbox.values())
 
+    def test_node_cut_off_in_a_large_group_declares_nobody_dead(self):
+        gossip, view = make_side(NAMES + tuple(f"x{number}" for number in range(40)))
+        run_checks(gossip, view, WATCH_S, 100.0, set())
+        states = [member.state for member in view.members.values()]
+        assert states.count(MemberState.SUSPECT) == len(gossip.chosen)
+        assert not suspects_are_many(view)
+        assert MemberState.DEAD not in states
+
     def test_many_suspects_at_once_are_kept_until_the_hold_ends(self):
         names = NAMES + ("f", "g", "h")
         gossip, view = make_side(names)
--- /dev/null
+++ b/tests/test_peer.py
@@ -0,0 +1,203 @@
+"""Exchanges over pynng: bounded in time and size, and never stuck on a dead peer."""
+
+from socket import socket
+from time import monotonic
+
+import pytest
+from curio import TaskGroup, run, sleep, spawn, timeout_after
+
+from membership_double import ADDRESS, record_for
+from pollenbay.ids import InstanceId
+from pollenbay.news import (
+    PageAnswer,
+    PageRequest,
+    Question,
+    Refusal,
+    RefusedAnswer,
+    ReportRequest,
+    decode_answer,
+)
+from pollenbay.peer import (
+    EXCHANGE_TIMEOUT_MS,
+    IDLE_TIMEOUT_MS,
+    QUESTION_LIMIT_BYTES,
+    PeerAnswerError,
+    PeerListenError,
+    PeerSilentError,
+    make_peer_link,
+    make_peer_server,
+    make_peer_traffic,
+)
+
+MS_PER_S = 1000
+#: Longest that one question may take: a send and a receive that both run out, and some more.
+ASK_BOUND_S = 2 * EXCHANGE_TIMEOUT_MS / MS_PER_S + 1.0
+QUESTION = PageRequest(InstanceId(""))
+
+
+async def answer_page(question: Question) -> PageAnswer:
+    """Answer any question by one page."""
+    return PageAnswer([record_for("b")])
+
+
+class Pair:
+    """A server in a task, and a link to it."""
+
+    def __init__(self, respond=answer_page) -> None:
+        self.served, self.asked = make_peer_traffic(), make_peer_traffic()
+        self.server = make_peer_server(ADDRESS, 0, self.served)
+        self.link = make_peer_link(ADDRESS, self.server.port, self.asked)
+        self.respond = respond
+
+    async def __aenter__(self):
+        self.task = await spawn(self.server.serve, self.respond)
+        return self
+
+    async def __aexit__(self, *details):
+        await self.task.cancel()
+        self.link.close()
+        self.server.close()
+
+
+class TestExchange:
+    def test_question_is_answered_and_counted(self):
+        async def main():
+            async with Pair() as pair:
+                answer = await pair.link.ask(QUESTION)
+                return answer, pair.asked, pair.served
+
+        answer, asked, served = run(main)
+        assert answer == PageAnswer([record_for("b")])
+        assert asked.sent_bytes == served.received_bytes > 0
+        assert asked.received_bytes == served.sent_bytes > 0
+
+    def test_refusal_is_an_error_of_this_layer(self):
+        async def refuse(question):
+            return RefusedAnswer(Refusal.BAD_MESSAGE)
+
+        async def main():
+            async with Pair(refuse) as pair:
+                with pytest.raises(PeerAnswerError):
+                    await pair.link.ask(QUESTION)
+
+        run(main)
+
+    def test_bytes_that_are_no_question_are_refused_and_the_server_goes_on(self):
+        async def main():
+            async with Pair() as pair:
+                await pair.link._sock.asend(b"\xc1 no message")
+                refusal = decode_answer(await pair.link._sock.arecv())
+                return refusal, await pair.link.ask(QUESTION), pair.served.questions_refused
+
+        refusal, answer, refused = run(main)
+        assert refusal == RefusedAnswer(Refusal.BAD_MESSAGE)
+        assert isinstance(answer, PageAnswer)
+        assert refused == 1
+
+    def test_question_past_the_size_limit_gets_no_answer_and_the_server_goes_on(self):
+        async def main():
+            async with Pair() as pair:
+                with pytest.raises(PeerSilentError):
+                    await pair.link.ask(PageRequest(InstanceId("x" * QUESTION_LIMIT_BYTES)))
+                other = make_peer_link(ADDRESS, pair.server.port, pair.asked)
+                try:
+                    return await other.ask(QUESTION)
+                finally:
+                    other.close()
+
+        assert isinstance(run(main), PageAnswer)
+
+
+class TestSilence:
+    def test_port_that_nobody_holds_is_silence_within_the_bound(self):
+        with socket() as sock:
+            sock.bind((ADDRESS, 0))
+            port = sock.getsockname()[1]
+
+        async def main():
+            link = make_peer_link(ADDRESS, port, make_peer_traffic())
+            start = monotonic()
+            with pytest.raises(PeerSilentError):
+                await link.ask(ReportRequest())
+            link.close()
+            return monotonic() - start
+
+        assert run(main) < ASK_BOUND_S
+
+    def test_peer_that_accepts_and_says_nothing_blocks_no_other(self):
+        silent = socket()
+        silent.bind((ADDRESS, 0))
+        silent.listen()
+
+        async def ask_silent():
+            link = make_peer_link(ADDRESS, silent.getsockname()[1], make_peer_traffic())
+            try:
+                with pytest.raises(PeerSilentError):
+                    await link.ask(QUESTION)
+            finally:
+                link.close()
+
+        async def main():
+            async with Pair() as pair, TaskGroup() as group:
+                waiting = await group.spawn(ask_silent)
+                answered = 0
+                while not waiting.terminated:
+                    await pair.link.ask(QUESTION)
+                    answered += 1
+                    await sleep(0.01)
+                return answered
+
+        with silent:
+            assert run(main) > 5
+
+    def test_peer_that_comes_back_is_reached_by_the_same_link(self):
+        async def main():
+            traffic = make_peer_traffic()
+            first = make_peer_server(ADDRESS, 0, traffic)
+            port = first.port
+            first.close()
+            link = make_peer_link(ADDRESS, port, traffic)
+            with pytest.raises(PeerSilentError):
+                await link.ask(QUESTION)
+            second = make_peer_server(ADDRESS, port, traffic)
+            task = await spawn(second.serve, answer_page)
+            try:
+                return await timeout_after(10.0, _ask_until_answered, link)
+            finally:
+                await task.cancel()
+                link.close()
+                second.close()
+
+        assert isinstance(run(main), PageAnswer)
+
+
+class TestCancellation:
+    def test_idle_server_is_cancelled_within_its_time_limit(self):
+        async def main():
+            server = make_peer_server(ADDRESS, 0, make_peer_traffic())
+            task = await spawn(server.serve, answer_page)
+            await sleep(0.05)
+            start = monotonic()
+            await task.cancel()
+            server.close()
+            return monotonic() - start
+
+        assert run(main) < IDLE_TIMEOUT_MS / MS_PER_S + 1.0
+
+
+class TestPort:
+    def test_port_in_use_is_an_error_of_this_layer(self):
+        server = make_peer_server(ADDRESS, 0, make_peer_traffic())
+        try:
+            with pytest.raises(PeerListenError):
+                make_peer_server(ADDRESS, server.port, make_peer_traffic())
+        finally:
+            server.close()
+
+
+async def _ask_until_answered(link):
+    while True:
+        try:
+            return await link.ask(QUESTION)
+        except PeerSilentError:
+            await sleep(0.05)
