Give suspects time to refute when a hold ends; tests with real processes

Cause: with half of the nodes paused, the suspects were held; as soon as the first of them had refuted, the others counted as few, and were declared dead with their refutations under way. Change: the time to refute begins anew when a hold or an isolation ends.

--- a/src/pollenbay/commands/membership.py
+++ b/src/pollenbay/commands/membership.py
@@ -200,9 +200,20 @@
 
 
 def _declare_dead(gossip: Gossip, view: View, now: float) -> None:
-    wait_s = SUSPECT_HOLD_S if suspects_are_many(view) else REFUTE_S
+    """Declare dead the suspects whose time to refute is over.
+
+    Whoever remains suspected when a hold ends has that time anew, since the others' refutations
+    ended it.
+    """
+    held = suspects_are_many(view)
+    if held or gossip.isolated:
+        gossip.held_at = now
     for member in list(view.doubted.values()):
-        if member.state is MemberState.SUSPECT and now - member.state_at >= wait_s:
+        if member.state is not MemberState.SUSPECT:
+            continue
+        if now - max(member.state_at, gossip.held_at) >= REFUTE_S:
+            _declare(gossip, view, member, now)
+        elif held and now - member.state_at >= SUSPECT_HOLD_S:
             _declare(gossip, view, member, now)
 
 
--- a/src/pollenbay/gossip.py
+++ b/src/pollenbay/gossip.py
@@ -92,6 +92,7 @@
     :param checked_at: monotonic seconds of the last check of the contacts.
     :param confirmed_at: monotonic seconds at which the last answered heartbeat was sent.
     :param reincarnated_at: monotonic seconds of the last new incarnation.
+    :param held_at: monotonic seconds at which nobody could be declared dead for the last time.
     :param isolated: whether more than half of the chosen peers are silent.
     :param urgent: whether there is news that must not wait for the next heartbeat.
     :param outdated: whether the view has to be fetched anew.
@@ -106,6 +107,7 @@
     checked_at: float = 0.0
     confirmed_at: float = 0.0
     reincarnated_at: float = -inf
+    held_at: float = -inf
     isolated: bool = False
     urgent: bool = False
     outdated: bool = False
--- a/tests/member_node.py
+++ b/tests/member_node.py
@@ -10,7 +10,7 @@
 from signal import SIGTERM, SIGUSR1
 
 import click
-from curio import SignalEvent, TaskGroup, run, sleep
+from curio import TaskGroup, run, sleep
 from msgspec import Struct
 from msgspec.json import encode
 
@@ -36,6 +36,7 @@
 from pollenbay.rulebook import make_rulebook
 from pollenbay.rulerow import make_rule_set
 from pollenbay.settings import Settings, TableSettings
+from pollenbay.signals import catch_signals
 from pollenbay.states import CallClass, MemberState
 from pollenbay.table import make_table
 from pollenbay.timer import make_timer
@@ -135,8 +136,7 @@
         await group.spawn(timer.run)
         await group.spawn(run_membership, membership)
         await group.spawn(write_log, membership, log_path)
-        await group.spawn(publish_when_asked, membership)
-        await group.spawn(leave_when_asked, membership)
+        await group.spawn(obey_signals, membership)
 
 
 async def write_log(membership: Membership, path: Path) -> None:
@@ -158,20 +158,13 @@
             await sleep(LOOK_S)
 
 
-async def leave_when_asked(membership: Membership) -> None:
-    """Announce leaving at SIGTERM, and end a while later."""
-    await SignalEvent(SIGTERM).wait()
-    announce_leaving(membership)
-    await sleep(LEAVE_S)
-
-
-async def publish_when_asked(membership: Membership) -> None:
-    """Adopt one more version at each SIGUSR1."""
-    asked = SignalEvent(SIGUSR1)
-    while True:
-        await asked.wait()
-        asked.clear()
-        await adopt_rules(membership, next_rules(membership))
+async def obey_signals(membership: Membership) -> None:
+    """Adopt one more version at each SIGUSR1; announce leaving at SIGTERM and end a while later."""
+    with catch_signals(SIGTERM, SIGUSR1) as asked:
+        while await asked.wait() != SIGTERM:
+            await adopt_rules(membership, next_rules(membership))
+        announce_leaving(membership)
+        await sleep(LEAVE_S)
 
 
 def next_rules(membership: Membership):
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -205,9 +205,12 @@
 
     def test_node_cut_off_in_a_large_group_declares_nobody_dead(self):
         gossip, view = make_side(NAMES + tuple(f"x{number}" for number in range(40)))
+        first, *rest = gossip.chosen
+        view.put(replace(view.members[first], state=MemberState.LEAVING))
         run_checks(gossip, view, WATCH_S, 100.0, set())
         states = [member.state for member in view.members.values()]
-        assert states.count(MemberState.SUSPECT) == len(gossip.chosen)
+        assert states.count(MemberState.SUSPECT) == len(rest)
+        assert states.count(MemberState.LEAVING) == 1
         assert not suspects_are_many(view)
         assert MemberState.DEAD not in states
 
@@ -228,6 +231,28 @@
         run_checks(gossip, view, end, end, {"b", "c", "d", "e"})
         assert view.members[InstanceId("f")].state is MemberState.DEAD
 
+    def test_remaining_suspects_have_time_to_refute_when_a_hold_ends(self):
+        gossip, view = make_side(NAMES + ("f", "g", "h"))
+        for name in ("f", "g", "h"):
+            suspicion = record_for(name, state=MemberState.SUSPECT)
+            apply_record(gossip, view, suspicion, clock_at(0.0), InstanceId("b"))
+        alive = {"b", "c", "d", "e", "f"}
+        run_checks(gossip, view, WATCH_S, 10.0, alive)
+        refutation = record_for("f", sequence=1)
+        apply_record(gossip, view, refutation, clock_at(10.0), InstanceId("b"))
+        run_checks(gossip, view, 10.0 + WATCH_S, 10.0 + REFUTE_S - WATCH_S, alive)
+        assert gossip.counts.declared_dead == 0
+        run_checks(gossip, view, 10.0 + REFUTE_S, 10.0 + REFUTE_S, alive)
+        assert view.members[InstanceId("g")].state is MemberState.DEAD
+
+    def test_peers_have_time_to_refute_when_isolation_ends(self):
+        gossip, view = make_side(NAMES + tuple(f"x{number}" for number in range(40)))
+        run_checks(gossip, view, WATCH_S, 10.0, set())
+        heard = set(gossip.chosen)
+        run_checks(gossip, view, 10.0 + WATCH_S, 10.0 + REFUTE_S - WATCH_S, heard)
+        assert not gossip.isolated
+        assert gossip.counts.declared_dead == 0
+
     def test_a_single_suspect_is_not_many(self):
         _, view = make_side(NAMES + ("f", "g", "h"))
         view.put(replace(view.members[InstanceId("h")], state=MemberState.SUSPECT))
--- a/tests/test_membership_processes.py
+++ b/tests/test_membership_processes.py
@@ -29,13 +29,13 @@
     @property
     def last(self) -> dict:
         """Return the last line of its log."""
-        lines = self.log.read_bytes().splitlines()
-        return json.loads(lines[-1])
+        return self.lines[-1]
 
     @property
     def lines(self) -> list[dict]:
         """Return all lines of its log."""
-        return [json.loads(line) for line in self.log.read_bytes().splitlines()]
+        whole, _, _ = self.log.read_bytes().rpartition(b"\n")
+        return [json.loads(line) for line in whole.splitlines()]
 
     def believes(self, name: str) -> str | None:
         """Return the state of a member in its view."""
@@ -64,6 +64,7 @@
             *extra,
         )
         node = Node(name, process, log)
+        wait_until(lambda: log.exists() and node.lines, SOON_S, "the log")
         self.all.append(node)
         return node
 
@@ -80,7 +81,7 @@
 
     def agree(self, name: str, *states: str) -> bool:
         """Tell whether all others believe one to be in one of these states."""
-        return all(node.believes(name) in states for node in self.others(name) if node.log.exists())
+        return all(node.believes(name) in states for node in self.others(name))
 
 
 @pytest.fixture
@@ -177,7 +178,7 @@
         sleep(3.0)
         assert all(nodes.agree(node.name, "serving") for node in nodes.all)
         late = nodes.start("i9", "--peer", f"127.0.0.1:{nodes.all[0].process.port}")
-        wait_until(lambda: late.log.exists() and late.last["ready"], SOON_S, "the late node")
+        wait_until(lambda: late.last["ready"], SOON_S, "the late node")
         wait_until(lambda: nodes.agree("i9", "serving"), SOON_S, "its announcement")
 
 
