--- a/tests/test_publication.py
+++ b/tests/test_publication.py
@@ -1,15 +1,15 @@
 """Tests of pollenbay.commands.publication and pollenbay.commands.settlement."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import Any
 
+from admin_node import make_admin_node
 from hypothesis import settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 from stepped_table import Fault, TableDouble, drive
 
 from pollenbay.commands import execute
-from pollenbay.commands.adoption import adopt
 from pollenbay.commands.publication import Publish, publish, read_current
 from pollenbay.commands.settlement import Settle, settle
 from pollenbay.finding import FindingKind
@@ -26,7 +26,6 @@
     publication_time,
 )
 from pollenbay.rule import CallRule, RuleSet, ServiceRule
-from pollenbay.rulebook import Rulebook, make_rulebook
 from pollenbay.rulerow import (
     CURRENT_KEY,
     HISTORY_PREFIX,
@@ -245,34 +244,15 @@
         assert not (isinstance(outcome, Accepted) and outcome.version == 1)
 
 
-class _Clock:
-    def epoch(self) -> float:
-        return NOW
-
-
-@dataclass
-class _Membership:
-    rulebook: Rulebook = field(default_factory=make_rulebook)
-    timer: _Clock = field(default_factory=_Clock)
-    ticks: dict[str, Any] = field(default_factory=dict)
-    adopt: Any = staticmethod(adopt)
-
-
-@dataclass
-class _Node:
-    table: TableDouble
-    membership: _Membership = field(default_factory=_Membership)
-
-
 class TestExecute:
     def test_accepted_rules_come_into_force_on_the_node(self) -> None:
-        node = _Node(TableDouble())
+        node = make_admin_node()
         outcome = drive(execute(_publish(1), node))
         assert isinstance(outcome, Accepted)
-        assert node.membership.rulebook.version == 1
+        assert node.rulebook.version == 1
 
     def test_rules_with_errors_are_not_written(self) -> None:
-        node = _Node(TableDouble())
+        node = make_admin_node()
         services = _services(1) + _services(2)
         outcome = drive(execute(Publish(services=services, author=ANNA), node))
         assert isinstance(outcome, Invalid)
@@ -280,7 +260,7 @@
         assert node.table.rows == {}
 
     def test_settle(self) -> None:
-        node = _Node(TableDouble())
+        node = make_admin_node()
         outcome = drive(execute(_publish(1), node))
         again = drive(execute(Settle(publication=outcome.publication), node))
         assert again == outcome
