--- /dev/null
+++ b/src/pollenbay/__init__.py
@@ -0,0 +1,45 @@
+"""Overload control layer for service call graphs.
+
+The names here are the public interface: the typed calls, outcomes, rules and settings, and the
+two entries for operators' commands and queries.
+"""
+
+from pollenbay.call import Asked, Call
+from pollenbay.commands import execute
+from pollenbay.commands.life import Drain
+from pollenbay.commands.publication import Publish
+from pollenbay.node import Node, make_node
+from pollenbay.outcome import Answered, NotRun, Outcome, Unknown
+from pollenbay.queries import answer
+from pollenbay.queries.history import ShowHistory
+from pollenbay.queries.rules import ShowRules
+from pollenbay.queries.status import ShowMembers, ShowStatus
+from pollenbay.rule import CallRule, RuleSet, ServiceRule
+from pollenbay.settings import Settings, load_settings
+from pollenbay.states import CallClass, Reason
+
+__all__ = [
+    "Answered",
+    "Asked",
+    "Call",
+    "CallClass",
+    "CallRule",
+    "Drain",
+    "Node",
+    "NotRun",
+    "Outcome",
+    "Publish",
+    "Reason",
+    "RuleSet",
+    "ServiceRule",
+    "Settings",
+    "ShowHistory",
+    "ShowMembers",
+    "ShowRules",
+    "ShowStatus",
+    "Unknown",
+    "answer",
+    "execute",
+    "load_settings",
+    "make_node",
+]
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from curio import run
-from harness import ADDRESS, Answer, Process, Processes, send, wait_until
+from harness import ADDRESS, Answer, Process, Processes, free_port, send, wait_until
 
 from pollenbay.commands.publication import Accepted, Publish, publish
 from pollenbay.rule import ServiceRule
@@ -25,6 +25,8 @@
     service: str
     node: Process
     target: Process
+    link_proxy: Process | None = None
+    gossip_proxy: Process | None = None
 
     @property
     def callers(self) -> int:
@@ -73,14 +75,18 @@
         slots: int = 20,
         node: dict[str, Any] | None = None,
         target: dict[str, Any] | None = None,
+        proxied: bool = False,
     ) -> Instance:
         """Start a node and its target.
 
         :param calls: as in `standins.target_settings.CallSettings`.
         :param node: further settings of the node.
         :param target: further settings of the target.
+        :param proxied: whether other nodes reach it through fault-injecting proxies.
         """
-        process = self.start_node(name, service, zone, node or {})
+        more = dict(node or {})
+        proxies = self._start_proxies(more) if proxied else (None, None)
+        process = self.start_node(name, service, zone, more)
         beside = self.processes.start_target(
             f"{name}-target",
             {
@@ -91,10 +97,17 @@
                 **(target or {}),
             },
         )
-        instance = Instance(name, service, process, beside)
+        instance = Instance(name, service, process, beside, *proxies)
         self.instances[name] = instance
         return instance
 
+    def _start_proxies(self, settings: dict[str, Any]) -> tuple[Process, Process]:
+        ports = {"link": free_port(), "gossip": free_port()}
+        link, gossip = (self.processes.start_proxy(port) for port in ports.values())
+        settings["ports"] = ports
+        settings["advertised"] = {"link": link.port, "gossip": gossip.port}
+        return link, gossip
+
     def start_node(self, name: str, service: str, zone: str, more: dict[str, Any]) -> Process:
         """Start a node alone."""
         settings = {
@@ -116,6 +129,21 @@
         named = {key.replace("_", "-"): value for key, value in headers.items()}
         return send(self[name].callers, path, method, headers=named)
 
+    def ask_admin(self, name: str, path: str) -> Any:
+        """Ask a node's administration API."""
+        headers = {"authorization": f"Bearer {ADMIN_TOKEN}"}
+        answer = send(self[name].admin, path, headers=headers)
+        assert answer.status == 200, answer
+        return answer.json()
+
+    def members_seen_by(self, name: str) -> list[dict[str, Any]]:
+        """Return the instances in a node's view."""
+        return self.ask_admin(name, "/v1/members")["members"]
+
+    def rule_version_of(self, name: str) -> int:
+        """Return the rule version in force on a node."""
+        return self.ask_admin(name, "/v1/status")["rule_version"]
+
     def wait_until_answered(self, name: str, path: str, method: str = "GET") -> Answer:
         """Call until the answer is 200."""
 
--- /dev/null
+++ b/tests/crowd.py
@@ -0,0 +1,112 @@
+"""Many callers at once for integration tests, and what each of them was told."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from http.client import HTTPException
+from threading import Event
+from time import monotonic
+
+from harness import Answer, Process, run_log, send
+
+BODY_BYTES = 300
+
+
+@dataclass(frozen=True, slots=True)
+class Told:
+    """One request and what its caller was told.
+
+    :param answer: None if the connection to the node broke.
+    """
+
+    marker: str
+    path: str
+    answer: Answer | None
+    began_at: float
+    ended_at: float
+
+    @property
+    def outcome(self) -> str:
+        """Return the outcome that the node stated, or ``lost``."""
+        if self.answer is None:
+            return "lost"
+        return self.answer.headers.get("pollenbay-outcome", "none")
+
+    @property
+    def answered(self) -> bool:
+        """Tell whether a good answer came."""
+        return self.answer is not None and self.answer.status == 200
+
+    @property
+    def whole(self) -> bool:
+        """Tell whether the answer is the one to this request, and all of it."""
+        line = f"{self.marker}\n".encode("ascii")
+        expected = (line * (BODY_BYTES // len(line) + 1))[:BODY_BYTES]
+        return self.answer is not None and self.answer.body == expected
+
+
+def ask(port: int, marker: str, path: str, method: str, caller: str, key: str | None) -> Told:
+    """Make one request and return what was told."""
+    headers = {"x-marker": marker, "x-size": str(BODY_BYTES), "pollenbay-caller": caller}
+    if key is not None:
+        headers["idempotency-key"] = key
+    began_at = monotonic()
+    try:
+        answer = send(port, path, method, headers=headers)
+    except (OSError, HTTPException):
+        answer = None
+    return Told(marker, path, answer, began_at, monotonic())
+
+
+@dataclass(slots=True)
+class Crowd:
+    """Callers that ask one request after another until told to stop.
+
+    :param ports: where they ask, in turn.
+    :param callers: how many callers there are for each path.
+    :param key: whether each request has an idempotency key, its marker.
+    :param pause_s: seconds between two requests of a caller.
+    """
+
+    ports: list[int]
+    paths: list[str]
+    callers: int = 4
+    method: str = "GET"
+    key: bool = False
+    pause_s: float = 0.0
+    name: str = "crowd"
+
+    def run(self, stop: Event) -> list[Told]:
+        """Ask until `stop` is set and return all that was told."""
+        with ThreadPoolExecutor(self.callers * len(self.paths)) as pool:
+            futures = [
+                pool.submit(self._one, path, number, stop)
+                for path in self.paths
+                for number in range(self.callers)
+            ]
+            return [told for future in futures for told in future.result()]
+
+    def run_beside(self, pool: ThreadPoolExecutor, stop: Event):
+        """Ask in the background; the future returns all that was told."""
+        return pool.submit(self.run, stop)
+
+    def _one(self, path: str, number: int, stop: Event) -> list[Told]:
+        told: list[Told] = []
+        while not stop.is_set():
+            marker = f"{self.name}-{path.strip('/').replace('/', '.')}-{number}-{len(told)}"
+            port = self.ports[(number + len(told)) % len(self.ports)]
+            key = marker if self.key else None
+            told.append(ask(port, marker, path, self.method, f"caller-{number}", key))
+            stop.wait(self.pause_s)
+        return told
+
+
+def markers_run(targets: Iterable[Process]) -> dict[str, int]:
+    """Return how often each marker ran, over all targets."""
+    counted: dict[str, int] = {}
+    for target in targets:
+        for run in run_log(target)["runs"]:
+            counted[run["marker"]] = counted.get(run["marker"], 0) + 1
+    return counted
