--- a/src/pollenbay/commands/gossiping.py
+++ b/src/pollenbay/commands/gossiping.py
@@ -2,7 +2,7 @@
 
 from logging import getLogger
 
-from curio import CancelledError, TaskGroup, spawn
+from curio import CancelledError, TaskError, TaskGroup, spawn
 
 from pollenbay.commands.heartbeat import renew_report
 from pollenbay.commands.joining import run_announcements, run_joining
@@ -95,6 +95,7 @@
         if changes != membership.view.total_changes:
             changes = membership.view.total_changes
             update_peers(membership.gossip, membership.view, now)
+        _note_ready(membership)
         await _keep_peers(membership)
         await push_urgent(membership)
         await ticks.wait()
@@ -111,6 +112,19 @@
         LOG.info("joined by a peer", extra={"members": len(membership.view.members)})
 
 
+def _note_ready(membership: Membership) -> None:
+    """Settle whether the node may serve: the table and its peers were asked for newer rules.
+
+    Peers are chosen for the present view when this is called.
+    """
+    if membership.ready or not membership.joined or not membership.table_asked:
+        return
+    if membership.newer or not membership.asked.issuperset(membership.gossip.chosen):
+        return
+    membership.ready = True
+    LOG.info("ready", extra={"rule_version": membership.rulebook.version})
+
+
 async def _keep_peers(membership: Membership) -> None:
     for instance, task in list(membership.peers.items()):
         if task.terminated:
@@ -127,9 +141,11 @@
     membership.ticks.pop(instance, None)
     membership.differs_since.pop(instance, None)
     membership.asked.discard(instance)
-    await task.wait()
-    if task.exception is not None and not isinstance(task.exception, CancelledError):
-        LOG.error("peer task failed", extra={"peer": instance, "error": repr(task.exception)})
+    try:
+        await task.join()
+    except TaskError as error:
+        if not isinstance(error.__cause__, CancelledError):
+            LOG.error("peer task failed", extra={"peer": instance, "error": repr(error.__cause__)})
 
 
 async def _stop_peers(membership: Membership) -> None:
--- a/src/pollenbay/commands/membership.py
+++ b/src/pollenbay/commands/membership.py
@@ -148,8 +148,7 @@
         _recover_from_stall(gossip, view, gap, now)
     _update_isolation(gossip, now)
     _suspect_silent(gossip, view, now)
-    if not gossip.isolated:
-        _declare_dead(gossip, view, now)
+    _declare_dead(gossip, view, now)
     _forget_dead(gossip, view, now)
 
 
@@ -157,7 +156,7 @@
     gossip.counts.stalls += 1
     for contact in gossip.contacts.values():
         contact.heard_at = now
-    for member in view.members.values():
+    for member in view.doubted.values():
         if member.state is MemberState.SUSPECT:
             member.state_at = now
     if gap > STALE_VIEW_S:
@@ -201,9 +200,20 @@
 
 
 def _declare_dead(gossip: Gossip, view: View, now: float) -> None:
-    wait_s = SUSPECT_HOLD_S if suspects_are_many(view) else REFUTE_S
-    for member in list(view.members.values()):
-        if member.state is MemberState.SUSPECT and now - member.state_at >= wait_s:
+    """Declare dead the suspects whose time to refute is over.
+
+    Whoever remains suspected when a hold ends has that time anew, since the others' refutations
+    ended it.
+    """
+    held = suspects_are_many(view)
+    if held or gossip.isolated:
+        gossip.held_at = now
+    for member in list(view.doubted.values()):
+        if member.state is not MemberState.SUSPECT:
+            continue
+        if now - max(member.state_at, gossip.held_at) >= REFUTE_S:
+            _declare(gossip, view, member, now)
+        elif held and now - member.state_at >= SUSPECT_HOLD_S:
             _declare(gossip, view, member, now)
 
 
@@ -217,7 +227,7 @@
 
 
 def _forget_dead(gossip: Gossip, view: View, now: float) -> None:
-    for member in list(view.members.values()):
+    for member in list(view.doubted.values()):
         if member.state is MemberState.DEAD and now - member.state_at >= TOMBSTONE_S:
             gossip.counts.forgotten += 1
             view.remove(member.instance)
--- a/src/pollenbay/membership.py
+++ b/src/pollenbay/membership.py
@@ -58,6 +58,7 @@
     :param newer: nodes that have newer rules.
     :param newer_event: set when `newer` grows.
     :param table_asked: whether the table was asked for rules once, with or without success.
+    :param ready: whether the node has joined and holds the newest rules that it was told of.
     :param problem: why the node has not joined; None once it has.
     """
 
@@ -79,6 +80,7 @@
     newer: dict[InstanceId, RuleSource] = field(default_factory=dict)
     newer_event: Event = field(default_factory=Event)
     table_asked: bool = False
+    ready: bool = False
     problem: JoinProblem | None = JoinProblem.NOT_TRIED
 
     @property
@@ -101,12 +103,6 @@
         """Tell whether the node has found the others, or that there are none."""
         return self.problem is None
 
-    @property
-    def ready(self) -> bool:
-        """Tell whether the node has joined and has the newest rules that it was told of."""
-        peers_asked = self.asked.issuperset(self.gossip.chosen)
-        return self.joined and self.table_asked and peers_asked and not self.newer
-
     def clock(self) -> Clock:
         """Return this moment."""
         return Clock(self.timer.now(), int(self.timer.epoch() * MS_PER_S))
@@ -122,23 +118,25 @@
     adopt: Adopt,
     read_rules: ReadRules,
     rng: Random | None = None,
+    incarnation: Incarnation | None = None,
 ) -> Membership:
     """Return the membership of a node that listens and knows only itself.
 
     :param link_port: port at which other nodes' calls are taken.
+    :param incarnation: that of this run; by the wall clock if it is not given.
     :raises PeerListenError: if the gossip port cannot be opened.
     """
     traffic = make_peer_traffic()
     server = make_peer_server(settings.address, settings.ports.gossip, traffic)
     now = timer.now()
-    incarnation = Incarnation(int(timer.epoch() * MS_PER_S))
+    incarnation = incarnation or Incarnation(int(timer.epoch() * MS_PER_S))
     view.put(
         Member(
             instance=settings.instance,
             incarnation=incarnation,
             service=settings.service,
             place=Place(settings.host, settings.zone, settings.region),
-            endpoints=Endpoints(settings.address, link_port, server.port),
+            endpoints=_endpoints(settings, link_port, server.port),
             state=MemberState.STARTING,
             heard_at=now,
             first_seen_at=now,
@@ -158,3 +156,8 @@
         server=server,
         rng=rng or Random(),
     )
+
+
+def _endpoints(settings: Settings, link_port: int, gossip_port: int) -> Endpoints:
+    told = settings.advertised
+    return Endpoints(settings.address, told.link or link_port, told.gossip or gossip_port)
--- /dev/null
+++ b/tests/cluster.py
@@ -0,0 +1,160 @@
+"""A small call graph of real processes for integration tests: platform, nodes and targets."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from time import time
+from typing import Any
+
+from curio import run
+from harness import ADDRESS, Answer, Process, Processes, free_port, send, wait_until
+
+from pollenbay.commands.publication import Accepted, Publish, publish
+from pollenbay.rule import ServiceRule
+from pollenbay.table import make_table
+
+ADMIN_TOKEN = "test-token-0123456789"
+SERVING_WITHIN_S = 15.0
+
+
+@dataclass(slots=True)
+class Instance:
+    """One node with the target beside it."""
+
+    name: str
+    service: str
+    node: Process
+    target: Process
+    link_proxy: Process | None = None
+    gossip_proxy: Process | None = None
+
+    @property
+    def callers(self) -> int:
+        """Return the port for callers."""
+        return self.node.ready["callers"]
+
+    @property
+    def admin(self) -> int:
+        """Return the port for operators."""
+        return self.node.ready["admin"]
+
+
+@dataclass(slots=True)
+class Cluster:
+    """Processes of one test.
+
+    :param table_port: where nodes look for the table; a proxy's port cuts them off from it.
+    """
+
+    processes: Processes
+    platform: Process
+    table_port: int
+    instances: dict[str, Instance] = field(default_factory=dict)
+
+    def __getitem__(self, name: str) -> Instance:
+        return self.instances[name]
+
+    @property
+    def targets(self) -> list[Process]:
+        """Return the targets of all instances."""
+        return [instance.target for instance in self.instances.values()]
+
+    def publish(self, *services: ServiceRule, author: str = "test") -> Accepted:
+        """Publish rules past the nodes, straight to the platform's table."""
+        table = make_table(ADDRESS, self.platform.port)
+        outcome = run(publish, table, Publish(services=services, author=author), time())
+        assert isinstance(outcome, Accepted), outcome
+        return outcome
+
+    def add(
+        self,
+        name: str,
+        service: str,
+        calls: list[dict[str, Any]],
+        zone: str = "z1",
+        slots: int = 20,
+        node: dict[str, Any] | None = None,
+        target: dict[str, Any] | None = None,
+        proxied: bool = False,
+    ) -> Instance:
+        """Start a node and its target.
+
+        :param calls: as in `standins.target_settings.CallSettings`.
+        :param node: further settings of the node.
+        :param target: further settings of the target.
+        :param proxied: whether other nodes reach it through fault-injecting proxies.
+        """
+        more = dict(node or {})
+        proxies = self._start_proxies(more) if proxied else (None, None)
+        process = self.start_node(name, service, zone, more)
+        beside = self.processes.start_target(
+            f"{name}-target",
+            {
+                "service": service,
+                "slots": slots,
+                "node_port": process.ready["outbound"],
+                "calls": calls,
+                **(target or {}),
+            },
+        )
+        instance = Instance(name, service, process, beside, *proxies)
+        self.instances[name] = instance
+        return instance
+
+    def _start_proxies(self, settings: dict[str, Any]) -> tuple[Process, Process]:
+        ports = {"link": free_port(), "gossip": free_port()}
+        link, gossip = (self.processes.start_proxy(port) for port in ports.values())
+        settings["ports"] = ports
+        settings["advertised"] = {"link": link.port, "gossip": gossip.port}
+        return link, gossip
+
+    def start_node(self, name: str, service: str, zone: str, more: dict[str, Any]) -> Process:
+        """Start a node alone."""
+        settings = {
+            "instance": name,
+            "host": f"host-{name}",
+            "zone": zone,
+            "region": "r1",
+            "service": service,
+            "address": ADDRESS,
+            "table": {"address": ADDRESS, "port": self.table_port, "timeout_s": 1.0},
+            "admin_token": ADMIN_TOKEN,
+            "leave_s": 1.0,
+            "drain_s": 10.0,
+        }
+        return self.processes.start_node(name, {**settings, **more})
+
+    def call(self, name: str, path: str, method: str = "GET", **headers: str) -> Answer:
+        """Make one call through a node; underscores in header names stand for hyphens."""
+        named = {key.replace("_", "-"): value for key, value in headers.items()}
+        return send(self[name].callers, path, method, headers=named)
+
+    def ask_admin(self, name: str, path: str) -> Any:
+        """Ask a node's administration API."""
+        headers = {"authorization": f"Bearer {ADMIN_TOKEN}"}
+        answer = send(self[name].admin, path, headers=headers)
+        assert answer.status == 200, answer
+        return answer.json()
+
+    def members_seen_by(self, name: str) -> list[dict[str, Any]]:
+        """Return the instances in a node's view."""
+        return self.ask_admin(name, "/v1/members")["members"]
+
+    def rule_version_of(self, name: str) -> int:
+        """Return the rule version in force on a node."""
+        return self.ask_admin(name, "/v1/status")["rule_version"]
+
+    def wait_until_answered(self, name: str, path: str, method: str = "GET") -> Answer:
+        """Call until the answer is 200."""
+
+        def attempt() -> Answer | None:
+            answer = self.call(name, path, method)
+            return answer if answer.status == 200 else None
+
+        return wait_until(attempt, SERVING_WITHIN_S, f"{path} at {name}")
+
+
+def make_cluster(processes: Processes, table_port: int | None = None) -> Cluster:
+    """Return a cluster with a platform and nothing else."""
+    platform = processes.start_platform()
+    return Cluster(processes, platform, table_port or platform.port)
