--- a/src/pollenbay/limit.py
+++ b/src/pollenbay/limit.py
@@ -272,7 +272,7 @@
             return False
         if phase is Phase.LESS:
             return elasticity > KNEE_ELASTICITY
-        return elasticity < KNEE_ELASTICITY and not self._has_failed()
+        return elasticity < KNEE_ELASTICITY
 
     def _keep(self, value: float) -> None:
         self._held = self._value = value
