--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -10,6 +10,7 @@
 from click import command, echo, option
 from loop import (
     CAPACITY_PER_S,
+    SLOTS,
     FixedLimit,
     GateControl,
     Loop,
@@ -97,19 +98,33 @@
         echo(f"{name:12} {before:9.0f} {inside:9.0f} {after:8.0f} {shown:>8}")
 
 
-def print_flood(duration_s: int) -> None:
+def print_flood(duration_s: int, flood_class: CallClass) -> None:
     """Print what one flooding caller leaves to the others at 0.8 of the capacity."""
-    echo("\none caller floods with 5 times the capacity, the others ask for 0.8 of it")
+    echo(f"\none caller floods with {flood_class.value} calls, 5 times the capacity, others 0.8")
     echo("control       critical normal sheddable (part served)  flood/s")
     for name, make in CONTROLS.items():
         flood = 5 * CAPACITY_PER_S
-        scenario = Scenario(duration_s, partial(constant, 0.8), flood=flood)
+        scenario = Scenario(
+            duration_s, partial(constant, 0.8), flood=flood, flood_class=flood_class
+        )
         tally = Loop(scenario, make(), SEED).run()
         parts = [served_part(tally, WARM_UP_S, duration_s, c) for c in CallClass]
         rate = tally.flood_good / duration_s
         echo(f"{name:12} " + " ".join(f"{part:8.2f}" for part in parts) + f" {rate:8.0f}")
 
 
+def print_wrong_slots(duration_s: int) -> None:
+    """Print the goodput where the target announces other slots than it has."""
+    echo(f"\nannounced slots differ from the true {SLOTS}, load 2.0, goodput/s from 20 s on")
+    echo("announced   fixed limit   pollenbay")
+    for slots in (5, 10, 20, 40, 80):
+        figures = []
+        for make in (FixedLimit, GateControl):
+            scenario = Scenario(duration_s, partial(constant, 2.0), attempts=HARD_ATTEMPTS)
+            figures.append(goodput(Loop(scenario, make(slots), SEED).run(), 20, duration_s))
+        echo(f"{slots:9} {figures[0]:13.0f} {figures[1]:11.0f}")
+
+
 @command()
 @option("--quick", is_flag=True, help="Shorter runs, to see that it works.")
 def main(quick: bool) -> None:
@@ -123,7 +138,9 @@
     surge = partial(during, 20.0, 40.0, 5.0, 0.8)
     scenario = Scenario(80.0, surge, attempts=HARD_ATTEMPTS)
     print_recovery("surge to 5.0 for 20 s, load 0.8, hard retriers", scenario, 20, 40)
-    print_flood(duration_s)
+    print_flood(duration_s, CallClass.SHEDDABLE)
+    print_flood(duration_s, CallClass.CRITICAL)
+    print_wrong_slots(30 if quick else 60)
 
 
 if __name__ == "__main__":
--- a/bench/loop.py
+++ b/bench/loop.py
@@ -103,16 +103,17 @@
 class FixedLimit(NoControl):
     """At most as many as there are slots, and a bounded queue in order of arrival."""
 
-    def __init__(self) -> None:
+    def __init__(self, slots: int = SLOTS) -> None:
+        self._slots = slots
         self._running = 0
         self._queue: list[Call] = []
 
     def arrive(self, call: Call, now: float) -> list[Call]:
         """Return the calls that start now."""
-        if self._running < SLOTS:
+        if self._running < self._slots:
             self._running += 1
             return [call]
-        if len(self._queue) < SLOTS * FIFO_PLACES_PER_SLOT:
+        if len(self._queue) < self._slots * FIFO_PLACES_PER_SLOT:
             self._queue.append(call)
             return []
         call.over = True
