Measure the limit's trials by occupancy and widen their step only while they help

Latencies of calls that began and ended in a window favour the short ones: with 80 slots announced and 20 true the limit took 30 s to come down. Occupancy by Little's law has no such bias.

--- a/src/pollenbay/commands/admission.py
+++ b/src/pollenbay/commands/admission.py
@@ -45,7 +45,7 @@
         return []
     arrival = ticket.arrival
     rank = arrival.call_class.rank
-    gate.limit.observe(rank, latency_s, ok, ticket.admitted_at, gate.in_flight, now)
+    gate.limit.observe(rank, latency_s, ok, gate.in_flight, now)
     _give_up_slot(gate, ticket)
     return _grant(gate, now)
 
--- a/src/pollenbay/limit.py
+++ b/src/pollenbay/limit.py
@@ -16,23 +16,23 @@
 #: The limit never grows past this multiple of the announced slots.
 CEILING_PER_SLOT = 4.0
 COLD_START_PART = 0.25
-LESS_FACTOR = 0.8
-MORE_FACTOR = 1.2
+#: By how much a trial changes the limit: after one that was kept, and else.
+WIDE_STEP = 1.5
+NARROW_STEP = 1.15
 HALF_FACTOR = 0.5
 #: Relative change of latency by relative change of the limit: 0 with room, 1 when calls queue.
-KNEE_ELASTICITY = 0.5
+KNEE_ELASTICITY = 0.7
 #: A stronger effect than this is not one of the limit: the target itself has changed.
 PLAUSIBLE_ELASTICITY = 2.5
 #: A latency of so many times the reference is a surge and halves the limit for a trial.
 SURGE_RATIO = 1.6
-#: A latency below this part of the reference shows that the target itself has become faster.
-FASTER_RATIO = 0.6
 #: A trial begins only after a window whose latency came this near to the reference.
 STEADY_RATIOS = (0.75, 1.33)
 WINDOW_MIN_S = 0.2
 WINDOW_MAX_S = 5.0
 WINDOW_LATENCIES = 2.0
 WINDOW_SAMPLES = 200
+NARROW_SAMPLES = 400
 WINDOW_MIN_SAMPLES = 20
 #: Samples after which a surge is looked for, and samples of each step of its trial.
 SURGE_SAMPLES = 32
@@ -42,8 +42,8 @@
 FAILURES_PART = 0.05
 FAILURES_MIN = 10
 PAUSE_MIN_S = 1.0
-PAUSE_MAX_S = 16.0
-REFERENCE_WEIGHT = 0.5
+PAUSE_DOUBLINGS = 3
+REFERENCE_WEIGHT = 0.3
 LATENCY_WEIGHT = 0.1
 
 
@@ -57,22 +57,34 @@
 
 
 class Window:
-    """Samples of the calls that began after a time.
+    """What was measured from a time on.
 
     :param started_at: monotonic seconds.
     :param wanted: samples that suffice.
     """
 
-    __slots__ = ("started_at", "sums_s", "counts", "samples", "failures", "peak", "wanted")
+    __slots__ = (
+        "started_at",
+        "wanted",
+        "last_at",
+        "occupied_s",
+        "expected_s",
+        "samples",
+        "failures",
+        "ends",
+        "running",
+    )
 
     def __init__(self, started_at: float, wanted: int) -> None:
         self.started_at = started_at
         self.wanted = wanted
-        self.sums_s = [0.0] * len(CallClass)
-        self.counts = [0] * len(CallClass)
+        self.last_at = started_at
+        self.occupied_s = 0.0
+        self.expected_s = 0.0
         self.samples = 0
         self.failures = 0
-        self.peak = 0
+        self.ends = 0
+        self.running = 0
 
 
 class Limit:
@@ -88,8 +100,10 @@
         self._phase = Phase.HOLD
         self._next_phase = Phase.LESS
         self._next_trial_at = 0.0
-        self._pause_s = PAUSE_MIN_S
-        self._references_s = [0.0] * len(CallClass)
+        self._undone = 0
+        self._searching = False
+        self._weights_s = [0.0] * len(CallClass)
+        self._reference = 0.0
         self._means_s = [0.0] * len(CallClass)
         self._sampled_at = [0.0] * len(CallClass)
         self._window = Window(0.0, WINDOW_SAMPLES)
@@ -127,35 +141,38 @@
         self._slots = slots
         self._held = self._bounded(self._held * factor)
         self._value = self._bounded(self._value * factor)
+        self._undone = 0
 
     def start_cold(self, now: float) -> None:
         """Forget what was measured and begin with a part of the slots."""
         self._held = self._value = self._bounded(self._slots * COLD_START_PART)
-        self._references_s = [0.0] * len(CallClass)
+        self._weights_s = [0.0] * len(CallClass)
+        self._reference = 0.0
         self._means_s = [0.0] * len(CallClass)
         self._next_phase = Phase.MORE
         self._next_trial_at = now
-        self._pause_s = PAUSE_MIN_S
+        self._undone = 0
         self._open_window(Phase.HOLD, now)
 
-    def observe(
-        self, rank: int, latency_s: float, ok: bool, admitted_at: float, in_flight: int, now: float
-    ) -> None:
+    def observe(self, rank: int, latency_s: float, ok: bool, in_flight: int, now: float) -> None:
         """Take in the end of one call.
 
         :param in_flight: calls that were running, with this one.
         """
+        answered = ok or latency_s > self._means_s[rank]
+        if answered:
+            self._smooth(rank, latency_s, now)
         window = self._window
-        if in_flight > window.peak:
-            window.peak = in_flight
-        if not ok and latency_s <= self._means_s[rank]:
-            self._count_failure(admitted_at, now)
+        if now < window.started_at:
             return
-        self._smooth(rank, latency_s, now)
-        if admitted_at < window.started_at:
+        window.occupied_s += in_flight * (now - window.last_at)
+        window.last_at = now
+        window.ends += 1
+        window.running += in_flight
+        if not answered:
+            self._count_failure(now)
             return
-        window.sums_s[rank] += latency_s
-        window.counts[rank] += 1
+        window.expected_s += self._weights_s[rank] or latency_s
         window.samples += 1
         if self._is_complete(now) or self._is_surge():
             self._end_window(now)
@@ -167,11 +184,8 @@
     def _bounded(self, value: float) -> float:
         return min(max(value, MIN_LIMIT), self.ceiling)
 
-    def _count_failure(self, admitted_at: float, now: float) -> None:
-        window = self._window
-        if admitted_at < window.started_at:
-            return
-        window.failures += 1
+    def _count_failure(self, now: float) -> None:
+        self._window.failures += 1
         if self._phase is Phase.MORE and self._has_failed():
             self._undo_trial(now)
 
@@ -195,76 +209,92 @@
     def _is_surge(self) -> bool:
         if self._phase is not Phase.HOLD or self._window.samples % SURGE_SAMPLES:
             return False
-        return self._is_saturated() and self._ratio() > SURGE_RATIO
+        if not self._reference or not self._is_saturated():
+            return False
+        return self._latency() > SURGE_RATIO * self._reference
 
     def _is_saturated(self) -> bool:
-        return self._window.peak >= SATURATED_PART * self._value
-
-    def _ratio(self) -> float:
-        """Return latency by its reference, over the classes as they came; 1 if not known."""
-        sums_s = expected_s = 0.0
         window = self._window
-        for rank, reference_s in enumerate(self._references_s):
-            if reference_s:
-                sums_s += window.sums_s[rank]
-                expected_s += window.counts[rank] * reference_s
-        return sums_s / expected_s if expected_s else 1.0
+        return window.running >= SATURATED_PART * self.value * window.ends
+
+    def _latency(self) -> float:
+        """Return the latency by Little's law, in units of what the classes that came take."""
+        return self._window.occupied_s / max(self._window.expected_s, 1e-9)
 
     def _end_window(self, now: float) -> None:
-        window = self._window
-        mean_s = sum(window.sums_s) / window.samples
+        mean_s = self._mean_s()
         self._window_s = min(max(WINDOW_LATENCIES * mean_s, WINDOW_MIN_S), WINDOW_MAX_S)
-        ratio = self._ratio()
+        latency = self._latency()
+        surge = self._reference > 0.0 and latency > SURGE_RATIO * self._reference
         if not self._is_saturated():
-            self._keep(self._held)
-            self._learn_references(REFERENCE_WEIGHT)
+            self._forget()
             self._open_window(Phase.HOLD, now)
-        elif self._phase is Phase.HOLD and ratio > SURGE_RATIO:
+        elif self._phase in (Phase.LESS, Phase.MORE):
+            self._end_trial(latency, mean_s, now)
+        elif not surge:
+            self._end_hold(latency, mean_s, now)
+        elif self._phase is Phase.HOLD:
             self._open_window(Phase.SURGE, now)
-        elif self._phase is Phase.SURGE and ratio > SURGE_RATIO:
-            self._learn_references(1.0)
-            self._try(Phase.LESS, HALF_FACTOR, mean_s, now)
-        elif self._phase in (Phase.HOLD, Phase.SURGE):
-            self._end_hold(ratio, mean_s, now)
         else:
-            self._end_trial(ratio, now)
+            self._reference = latency
+            self._try(Phase.LESS, HALF_FACTOR, mean_s, now)
 
-    def _end_hold(self, ratio: float, mean_s: float, now: float) -> None:
-        self._learn_references(1.0 if ratio < FASTER_RATIO else REFERENCE_WEIGHT)
-        steady = STEADY_RATIOS[0] <= ratio <= STEADY_RATIOS[1]
-        if now < self._next_trial_at or not steady:
+    def _mean_s(self) -> float:
+        window = self._window
+        return window.occupied_s / max(window.samples, 1)
+
+    def _forget(self) -> None:
+        self._keep(self._held)
+        self._weights_s = list(self._means_s)
+        self._reference = 0.0
+
+    def _end_hold(self, latency: float, mean_s: float, now: float) -> None:
+        ratio = latency / self._reference if self._reference else 0.0
+        if not STEADY_RATIOS[0] <= ratio <= STEADY_RATIOS[1]:
+            self._weights_s = list(self._means_s)
+            self._reference = 0.0 if ratio else 1.0
+            self._open_window(Phase.HOLD, now)
+            return
+        self._reference += REFERENCE_WEIGHT * (latency - self._reference)
+        if now < self._next_trial_at:
             self._open_window(Phase.HOLD, now)
-        elif self._next_phase is Phase.LESS:
-            self._try(Phase.LESS, LESS_FACTOR, mean_s, now)
         else:
-            self._try(Phase.MORE, MORE_FACTOR, mean_s, now)
+            self._try(self._next_phase, self._factor(), mean_s, now)
+
+    def _factor(self) -> float:
+        step = WIDE_STEP if self._searching else NARROW_STEP
+        return step if self._next_phase is Phase.MORE else 1.0 / step
 
     def _try(self, phase: Phase, factor: float, mean_s: float, now: float) -> None:
         self._held = self._value
         step = max(abs(self._value * (factor - 1.0)), 1.0)
         self._value = self._bounded(self._value + (step if factor > 1.0 else -step))
         wanted = SURGE_SAMPLES if factor == HALF_FACTOR else WINDOW_SAMPLES
+        if not self._searching and factor != HALF_FACTOR:
+            wanted = NARROW_SAMPLES
         self._open_window(phase, now + mean_s, wanted)
 
-    def _end_trial(self, ratio: float, now: float) -> None:
-        change = self._value / self._held
+    def _end_trial(self, latency: float, mean_s: float, now: float) -> None:
+        change = self.value / int(self._held)
+        ratio = latency / self._reference
         elasticity = log(ratio) / log(change) if change != 1.0 else KNEE_ELASTICITY
         phase = self._phase
         if self._is_kept(phase, elasticity):
             self._keep(self._value)
-            self._learn_references(1.0)
+            self._reference = latency
             self._next_phase = phase
-            self._pause_s = PAUSE_MIN_S
-            self._next_trial_at = now
-            self._open_window(Phase.HOLD, now)
+            self._undone = 0
+            self._searching = True
+            self._try(phase, self._factor(), mean_s, now)
         else:
             self._undo_trial(now)
 
     def _undo_trial(self, now: float) -> None:
         self._keep(self._held)
         self._next_phase = Phase.MORE if self._phase is Phase.LESS else Phase.LESS
-        self._next_trial_at = now + self._pause_s
-        self._pause_s = min(self._pause_s * 2.0, PAUSE_MAX_S)
+        self._searching = False
+        self._next_trial_at = now + PAUSE_MIN_S * 2.0**self._undone
+        self._undone = min(self._undone + 1, PAUSE_DOUBLINGS)
         self._open_window(Phase.HOLD, now)
 
     def _is_kept(self, phase: Phase, elasticity: float) -> bool:
@@ -277,15 +307,6 @@
     def _keep(self, value: float) -> None:
         self._held = self._value = value
 
-    def _learn_references(self, weight: float) -> None:
-        window = self._window
-        for rank, count in enumerate(window.counts):
-            if not count:
-                continue
-            mean_s = window.sums_s[rank] / count
-            old_s = self._references_s[rank]
-            self._references_s[rank] = old_s + weight * (mean_s - old_s) if old_s else mean_s
-
     def _open_window(self, phase: Phase, started_at: float, wanted: int = WINDOW_SAMPLES) -> None:
         self._phase = phase
         if phase is Phase.SURGE:
