--- a/src/pollenbay/limit.py
+++ b/src/pollenbay/limit.py
@@ -25,9 +25,9 @@
 #: A stronger effect than this is not one of the limit: the target itself has changed.
 PLAUSIBLE_ELASTICITY = 2.5
 #: A latency of so many times the reference is a surge and halves the limit for a trial.
-SURGE_RATIO = 1.6
-#: A trial begins only after a window whose latency came this near to the reference.
-STEADY_RATIOS = (0.75, 1.33)
+SURGE_RATIO = 1.4
+#: A latency below this part of the reference shows that the target itself has become faster.
+FASTER_RATIO = 0.7
 WINDOW_MIN_S = 0.2
 WINDOW_MAX_S = 5.0
 WINDOW_LATENCIES = 2.0
@@ -249,17 +249,16 @@
         self._reference = 0.0
 
     def _end_hold(self, latency: float, mean_s: float, now: float) -> None:
-        ratio = latency / self._reference if self._reference else 0.0
-        if not STEADY_RATIOS[0] <= ratio <= STEADY_RATIOS[1]:
-            self._weights_s = list(self._means_s)
-            self._reference = 0.0 if ratio else 1.0
-            self._open_window(Phase.HOLD, now)
-            return
-        self._reference += REFERENCE_WEIGHT * (latency - self._reference)
-        if now < self._next_trial_at:
-            self._open_window(Phase.HOLD, now)
+        if not any(self._weights_s) or latency < FASTER_RATIO * self._reference:
+            self._forget()
+        elif not self._reference:
+            self._reference = latency
         else:
-            self._try(self._next_phase, self._factor(), mean_s, now)
+            self._reference += REFERENCE_WEIGHT * (latency - self._reference)
+            if now >= self._next_trial_at:
+                self._try(self._next_phase, self._factor(), mean_s, now)
+                return
+        self._open_window(Phase.HOLD, now)
 
     def _factor(self) -> float:
         step = WIDE_STEP if self._searching else NARROW_STEP
--- a/tests/test_limit.py
+++ b/tests/test_limit.py
@@ -1,6 +1,7 @@
 """Tests of the adaptive limit against a target that is always asked for all it can do."""
 
 from heapq import heappop, heappush
+from itertools import pairwise
 from random import Random
 from statistics import median
 
@@ -61,6 +62,22 @@
     return sum(tail) / len(tail)
 
 
+def raised_value(failing_each: int) -> int:
+    """Return the limit within a trial of more, where one in so many calls fails at once."""
+    limit = make_limit(20)
+    limit.start_cold(0.0)
+    now = 0.0
+    while limit.value == 5:
+        now += SERVICE_S / 5
+        limit.observe(RANK, SERVICE_S, True, 5, now)
+    for index in range(300):
+        now += SERVICE_S / limit.value
+        limit.observe(RANK, SERVICE_S, True, limit.value, now)
+        if index % failing_each == 0:
+            limit.observe(RANK, REFUSAL_S, False, limit.value, now)
+    return limit.value
+
+
 class TestSearch:
     def test_starts_at_the_announced_slots(self) -> None:
         assert make_limit(20).value == 20
@@ -79,6 +96,13 @@
         target.run(60.0)
         assert target.answers >= 0.95 * 60.0 * 20 / SERVICE_S
 
+    def test_trials_become_rare_once_it_is_found(self) -> None:
+        target = Target(make_limit(20), 20)
+        target.run(60.0)
+        values = target.run(60.0)
+        changes = sum(before != after for before, after in pairwise(values))
+        assert 2 <= changes <= 24
+
 
 class TestBounds:
     def test_never_under_one(self) -> None:
@@ -114,6 +138,13 @@
         assert min(values) >= 8
         assert settled(values) >= 16
 
+    def test_a_surge_of_latency_is_noticed_within_seconds(self) -> None:
+        for offset_s in (0.0, 0.2, 0.4, 0.6):
+            target = Target(make_limit(20), 20)
+            target.run(20.0 + offset_s)
+            target.slowness = 10.0
+            assert min(target.run(2.5)) <= 11
+
     def test_slots_lost_while_running_are_noticed(self) -> None:
         target = Target(make_limit(20), 20)
         target.run(20.0)
@@ -147,6 +178,22 @@
             target.run(0.01)
         assert target.limit.value == before
 
+    def test_a_trial_ends_when_the_target_answers_with_refusals_only(self) -> None:
+        target = Target(make_limit(20), 20)
+        target.run(30.0)
+        before = 0
+        while not 18 <= before < target.limit.value:
+            before = target.limit.value
+            target.run(0.01)
+        target.fails = True
+        target.slowness = 0.01
+        target.run(1.0)
+        assert target.limit.value == before
+
+    def test_a_few_failures_do_not_end_a_trial_and_many_do(self) -> None:
+        assert raised_value(failing_each=50) > 5
+        assert raised_value(failing_each=5) <= 5
+
     def test_other_slots_scale_it(self) -> None:
         limit = make_limit(20)
         limit.set_slots(10)
