--- a/src/pollenbay/queries/pressure.py
+++ b/src/pollenbay/queries/pressure.py
@@ -21,13 +21,16 @@
 ) -> Refusal | None:
     """Refuse an entry call of whose downstream services one serves its class nowhere.
 
-    The class of the entry call holds for the whole chain. A service of which nothing fresh is
+    The most important class is never refused here, since no gate reports it as shed. The class of
+    the entry call holds for the whole chain. A service of which nothing fresh is
     known is no ground for a refusal.
     """
     rule = rulebook.calls.get((service, call))
     if rule is None or not rule.calls:
         return None
     rank = rule.call_class.rank
+    if not rank:
+        return None
     for downstream in downstream_services(rulebook, service, call):
         if _shuts_out(view, downstream, rank, now):
             return Refusal(Reason.DOWNSTREAM_OVERLOAD, RETRY_AFTER_S * (1 + rank))
