--- a/tests/table_double.py
+++ b/tests/table_double.py
@@ -35,6 +35,8 @@
     :param faults: faults of the next writes, one each.
     :param down: whether reads and writes fail without effect.
     :param gate: if set, writes wait for it before they take effect.
+    :param stale: rows that reads are answered from, in place of the present ones.
+    :param sizes: rows of each transaction that was asked for.
     """
 
     def __init__(self) -> None:
@@ -61,8 +63,9 @@
         self, prefix: str, after: str = "", limit: int = 1000
     ) -> Result[list[Row], TableError]:
         """Read rows by key."""
-        keys = sorted(key for key in self.rows if key.startswith(prefix) and key > after)
-        return Ok([self.rows[key] for key in keys[:limit]])
+        rows = self.rows if self.stale is None else self.stale
+        keys = sorted(key for key in rows if key.startswith(prefix) and key > after)
+        return Ok([rows[key] for key in keys[:limit]])
 
     async def transact(self, checks: list[Check], writes: list[Write]) -> Result[None, TableError]:
         """Apply all or nothing, under the next fault."""
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -28,7 +28,7 @@
     take_claim,
 )
 from pollenbay.commands.record import KEEP_S
-from pollenbay.commands.sweep import SWEEP_PAGE_ROWS, sweep_page
+from pollenbay.commands.sweep import SWEEP_PAGE_ROWS, run_sweeper, sweep_page
 from pollenbay.ids import (
     CallerId,
     CallName,
@@ -40,6 +40,7 @@
 from pollenbay.ledger import RETENTION_S, Ledger, make_ledger
 from pollenbay.outcome import Answered, NotRun, Unknown
 from pollenbay.states import Reason
+from pollenbay.timer import make_timer
 
 SERVICE = ServiceName("bookings")
 CALL = CallName("book")
@@ -454,6 +455,30 @@
 
         run_test(test)
 
+    def test_answer_of_a_row_that_is_gone_is_counted_lost(self) -> None:
+        async def test(hosts: Hosts) -> None:
+            ledger = await hosts.start("b1")
+            claim = await take_claim(ledger, hosts.request())
+            hosts.table.rows.clear()
+            await record_answer(ledger, claim, ANSWER)
+            await settle(ledger)
+            assert (ledger.counts.recorded, ledger.counts.lost) == (0, 1)
+
+        run_test(test)
+
+    def test_answer_never_replaces_another_attempts_row(self) -> None:
+        async def test(hosts: Hosts) -> None:
+            first, other = await hosts.start("b1"), await hosts.start("b2")
+            claim = await take_claim(first, hosts.request())
+            hosts.table.rows.clear()
+            again = await take_claim(other, hosts.request())
+            await record_answer(first, claim, ANSWER)
+            await settle(first)
+            assert (first.counts.recorded, first.counts.lost) == (0, 1)
+            assert hosts.row().nonce == again.nonce
+
+        run_test(test)
+
 
 class TestBatches:
     def test_concurrent_claims_share_transactions(self) -> None:
@@ -481,6 +506,7 @@
             outcomes = [await task.join() for task in tasks]
             assert outcomes.pop(5) == Unknown(Reason.DUPLICATE)
             assert all(isinstance(outcome, Claim) for outcome in outcomes)
+            assert hosts.table.reads == 1
 
         run_test(test)
 
@@ -545,3 +571,38 @@
             assert await sweep_page(ledger, "") == 20
 
         run_test(test)
+
+    def test_row_claimed_again_since_the_page_was_read_stays(self) -> None:
+        async def test(hosts: Hosts) -> None:
+            ledger = await hosts.start("b1")
+            claim = await take_claim(ledger, hosts.request())
+            await release_claim(ledger, claim)
+            await settle(ledger)
+            hosts.timer.time_s += WAIT_S + RETENTION_S + 1
+            hosts.table.stale = dict(hosts.table.rows)
+            again = await take_claim(ledger, hosts.request())
+            assert isinstance(again, Claim)
+            assert await sweep_page(ledger, "") == 0
+            assert hosts.row().nonce == again.nonce
+
+        run_test(test)
+
+    def test_sweeper_goes_on_while_pages_are_full_of_old_rows(self) -> None:
+        async def test(hosts: Hosts) -> None:
+            ledger = await hosts.start("b1")
+            for n in range(3 * SWEEP_PAGE_ROWS):
+                await take_claim(ledger, hosts.request(f"k{n}"))
+            hosts.timer.time_s += WAIT_S + RETENTION_S + 1
+            ledger.timer = make_timer()
+            await spawn(ledger.timer.run, daemon=True)
+            await spawn(run_sweeper, ledger, daemon=True)
+            while hosts.table.rows:
+                await sleep(0.01)
+            assert ledger.counts.removed == 3 * SWEEP_PAGE_ROWS
+
+        with (
+            patch("pollenbay.commands.sweep.SWEEP_PERIOD_S", 0.01),
+            patch("pollenbay.commands.sweep.SWEEP_GAP_S", 0.001),
+            patch("pollenbay.commands.sweep.random_place", lambda: ""),
+        ):
+            run_test(test)
