--- /dev/null
+++ b/src/pollenbay/commands/gossiping.py
@@ -0,0 +1,141 @@
+"""The tasks of a node's membership, and what the rest of the node tells it."""
+
+from logging import getLogger
+
+from curio import CancelledError, TaskError, TaskGroup, spawn
+
+from pollenbay.commands.heartbeat import renew_report
+from pollenbay.commands.joining import run_announcements, run_joining
+from pollenbay.commands.membership import announce_state, check_contacts, update_peers
+from pollenbay.commands.peering import push_urgent, run_peer, serve_question
+from pollenbay.commands.pulling import run_polls, run_pulls
+from pollenbay.gossip import HEARTBEAT_S, WATCH_S
+from pollenbay.ids import InstanceId
+from pollenbay.membership import Membership
+from pollenbay.news import Answer, Question
+from pollenbay.peer import SERVING_TASKS
+from pollenbay.queries.membership import record_of
+from pollenbay.rendezvous import withdraw_node
+from pollenbay.states import MemberState
+from pollenbay.view import Load
+
+LOG = getLogger("pollenbay.membership")
+
+
+async def run_membership(membership: Membership) -> None:
+    """Run until cancelled; the timer has to run beside it.
+
+    :raises Exception: the error of a task that failed.
+    """
+    try:
+        async with TaskGroup(wait=any) as group:
+            for _ in range(SERVING_TASKS):
+                await group.spawn(_serve, membership)
+            await group.spawn(_watch, membership)
+            await group.spawn(run_joining, membership)
+            await group.spawn(run_announcements, membership)
+            await group.spawn(run_pulls, membership)
+            await group.spawn(run_polls, membership)
+        if group.completed is not None and group.completed.exception is not None:
+            raise group.completed.exception
+    finally:
+        await _stop_peers(membership)
+        membership.server.close()
+
+
+def announce_serving(membership: Membership) -> None:
+    """Tell all nodes that this one takes calls."""
+    _announce(membership, MemberState.SERVING)
+
+
+def announce_absent(membership: Membership) -> None:
+    """Tell all nodes that the target of this one takes no calls for now."""
+    _announce(membership, MemberState.STARTING)
+
+
+def announce_leaving(membership: Membership) -> None:
+    """Tell all nodes that this one takes no new calls; final for its incarnation."""
+    _announce(membership, MemberState.LEAVING)
+
+
+def report_load(membership: Membership, load: Load) -> None:
+    """Put the load of the target beside this node in the next heartbeats."""
+    membership.gossip.load = load
+
+
+async def withdraw(membership: Membership) -> None:
+    """Remove this node's row from the table, once it has left."""
+    await withdraw_node(membership.table, record_of(membership.me))
+
+
+def _announce(membership: Membership, state: MemberState) -> None:
+    now = membership.timer.now()
+    if announce_state(membership.gossip, membership.view, state, now):
+        LOG.info("member state", extra={"state": state.value})
+
+
+async def _serve(membership: Membership) -> None:
+    async def respond(question: Question) -> Answer:
+        return await serve_question(membership, question)
+
+    await membership.server.serve(respond)
+
+
+async def _watch(membership: Membership) -> None:
+    """Check the contacts, and keep one task for each chosen peer."""
+    ticks = membership.timer.subscribe(WATCH_S)
+    renewed_at = membership.timer.now() - HEARTBEAT_S
+    changes = -1
+    while True:
+        now = membership.timer.now()
+        if now - renewed_at >= HEARTBEAT_S:
+            renew_report(membership.gossip, membership.view, membership.rulebook)
+            renewed_at = now
+        _check(membership, now)
+        if changes != membership.view.total_changes:
+            changes = membership.view.total_changes
+            update_peers(membership.gossip, membership.view, now)
+        await _keep_peers(membership)
+        await push_urgent(membership)
+        await ticks.wait()
+
+
+def _check(membership: Membership, now: float) -> None:
+    gossip = membership.gossip
+    isolated = gossip.isolated
+    check_contacts(gossip, membership.view, now)
+    if gossip.isolated != isolated:
+        LOG.warning("isolation", extra={"isolated": gossip.isolated})
+    if membership.problem is not None and any(each.asks for each in gossip.contacts.values()):
+        membership.problem = None
+        LOG.info("joined by a peer", extra={"members": len(membership.view.members)})
+
+
+async def _keep_peers(membership: Membership) -> None:
+    for instance, task in list(membership.peers.items()):
+        if task.terminated:
+            await _collect_peer(membership, instance)
+    for instance in membership.gossip.chosen:
+        if instance not in membership.peers and instance in membership.view.members:
+            incarnation = membership.view.members[instance].incarnation
+            task = await spawn(run_peer, membership, instance, incarnation)
+            membership.peers[instance] = task
+
+
+async def _collect_peer(membership: Membership, instance: InstanceId) -> None:
+    task = membership.peers.pop(instance)
+    membership.ticks.pop(instance, None)
+    membership.differs_since.pop(instance, None)
+    membership.asked.discard(instance)
+    try:
+        await task.join()
+    except TaskError as error:
+        if not isinstance(error.__cause__, CancelledError):
+            LOG.error("peer task failed", extra={"peer": instance, "error": repr(error.__cause__)})
+
+
+async def _stop_peers(membership: Membership) -> None:
+    for task in list(membership.peers.values()):
+        await task.cancel(blocking=False)
+    for instance in list(membership.peers):
+        await _collect_peer(membership, instance)
