--- a/Makefile
+++ b/Makefile
@@ -16,12 +16,12 @@
 	$(PYTHON) -m pytest
 
 lint: setup
-	$(VENV)/bin/black --check src tests
-	$(VENV)/bin/ruff check src tests
+	$(VENV)/bin/black --check src tests spec
+	$(VENV)/bin/ruff check src tests spec
 
 format: setup
-	$(VENV)/bin/black src tests
-	$(VENV)/bin/ruff check --fix src tests
+	$(VENV)/bin/black src tests spec
+	$(VENV)/bin/ruff check --fix src tests spec
 
 # DEPLOYMENT is sagbru or esernyo.
 DEPLOYMENT ?= sagbru
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Small specifications of the core protocols, checked exhaustively within stated bounds."""
--- /dev/null
+++ b/spec/claiming.py
@@ -0,0 +1,384 @@
+"""The claim of one idempotency key: requests at several hosts, one row, every fault of the table.
+
+Time is not modelled: between any two steps of a request any deadline may have passed, and a
+paused holder is one whose next step comes late. The source is `pollenbay.commands.claim`.
+"""
+
+from collections.abc import Callable, Iterator
+from enum import Enum, IntEnum
+from typing import NamedTuple
+
+Label = str
+
+
+class Phase(IntEnum):
+    """Where a request stands; the phases that write wait for the answer to one write."""
+
+    IDLE = 0
+    CLAIM_WRITE = 1
+    CLAIM_READ = 2
+    HELD = 3
+    SENT = 4
+    ANSWER_WRITE = 5
+    ANSWER_READ = 6
+    RELEASE_READ = 7
+    RELEASE_WRITE = 8
+    OVER = 9
+    DEAD = 10
+
+
+class Told(IntEnum):
+    """What the caller of a request was told."""
+
+    NOTHING = 0
+    NOT_RUN = 1
+    UNKNOWN = 2
+    ANSWERED = 3
+
+
+class Kind(IntEnum):
+    """State of the row."""
+
+    ABSENT = 0
+    CLAIMED = 1
+    ANSWERED = 2
+    RELEASED = 3
+
+
+class Mutant(Enum):
+    """One fault put into the protocol, which the checker must find."""
+
+    TAKE_OVER_AFTER_DEADLINE = "a claim past its deadline is taken over"
+    TAKE_OVER_FROM_DEAD = "a claim of a dead host is taken over"
+    SEND_BEFORE_READ_BACK = "a write without an answer counts as written"
+    READ_BACK_WITHOUT_NONCE = "any claim that is read back counts as one's own"
+    WRITE_WITHOUT_VERSION = "claims are written whatever version the row has"
+    GRANT_AFTER_REFUSAL = "a late answer still grants after the caller was refused"
+    RELEASE_AFTER_LOSS = "a call whose connection was lost is released"
+    LOSS_TOLD_AS_NOT_RUN = "a call whose connection was lost is told as not run"
+    RELEASE_WITHOUT_FENCE = "an absent row needs no release"
+    NO_RELEASE = "a refused request leaves its row"
+
+
+WRITES = {
+    Phase.CLAIM_WRITE: Kind.CLAIMED,
+    Phase.ANSWER_WRITE: Kind.ANSWERED,
+    Phase.RELEASE_WRITE: Kind.RELEASED,
+}
+RELEASES = (Phase.RELEASE_READ, Phase.RELEASE_WRITE)
+ENDED = (Phase.IDLE, Phase.OVER, Phase.DEAD)
+
+
+class Bounds(NamedTuple):
+    """Size of the model.
+
+    :param hosts: host of each request.
+    :param tries: writes by which a request tries to claim.
+    :param stale: reads that may show an earlier version of the row, any that it has had.
+    :param late: writes that may be on their way at once with nobody waiting for them.
+    """
+
+    hosts: tuple[int, ...] = (0, 1)
+    tries: int = 2
+    stale: int = 0
+    late: int = 4
+
+
+class Row(NamedTuple):
+    """Value of the row.
+
+    :param owner: the request whose nonce it holds.
+    """
+
+    kind: Kind
+    owner: int = -1
+
+
+class Message(NamedTuple):
+    """A write on its way to the table.
+
+    :param base: version that it demands.
+    """
+
+    row: Row
+    base: int
+
+
+class Request(NamedTuple):
+    """One request for the key.
+
+    :param answer: request whose answer the caller was told.
+    :param base: version that its last claim demanded.
+    :param write: version that its last write demanded.
+    :param uncertain: whether a claim of it may be applied or may still be.
+    """
+
+    phase: Phase = Phase.IDLE
+    told: Told = Told.NOTHING
+    answer: int = -1
+    base: int = 0
+    write: int = 0
+    tries: int = 0
+    uncertain: bool = False
+    sent: bool = False
+
+
+class State(NamedTuple):
+    """Everything.
+
+    :param rows: all values that the row has had; the index is the version.
+    :param stale: stale reads that are left.
+    """
+
+    rows: tuple[Row, ...]
+    messages: frozenset[Message]
+    requests: tuple[Request, ...]
+    stale: int
+
+
+Step = tuple[Label, State]
+
+
+class ClaimSpec:
+    """The protocol, whole or with one mutant."""
+
+    def __init__(self, bounds: Bounds, mutant: Mutant | None = None) -> None:
+        self._bounds = bounds
+        self._mutant = mutant
+        self._by_phase: dict[Phase, Callable[[State, int], Iterator[Step]]] = {
+            Phase.IDLE: self._idle,
+            Phase.CLAIM_READ: self._claim_read,
+            Phase.HELD: self._held,
+            Phase.SENT: self._sent,
+            Phase.ANSWER_READ: self._answer_read,
+            Phase.RELEASE_READ: self._release_read,
+        }
+
+    @property
+    def initial(self) -> State:
+        """Return the state before any request."""
+        requests = tuple(Request() for _ in self._bounds.hosts)
+        return State((Row(Kind.ABSENT),), frozenset(), requests, self._bounds.stale)
+
+    def steps(self, state: State) -> list[Step]:
+        """Return all steps from a state."""
+        found: list[Step] = []
+        for index, request in enumerate(state.requests):
+            step = self._by_phase.get(request.phase)
+            if step is not None:
+                found.extend(step(state, index))
+        for message in state.messages:
+            found.extend(self._arrive(state, message))
+        for host in set(self._bounds.hosts):
+            found.extend(self._crash(state, host))
+        return found
+
+    def _idle(self, state: State, index: int) -> Iterator[Step]:
+        yield f"{index} arrives", self._claim(state, index, state.requests[index])
+
+    def _held(self, state: State, index: int) -> Iterator[Step]:
+        request = state.requests[index]
+        sent = request._replace(phase=Phase.SENT, sent=True)
+        yield f"{index} sends", _put(state, index, sent)
+        released = request._replace(told=Told.NOT_RUN, phase=Phase.RELEASE_READ)
+        yield f"{index} does not send", _put(state, index, released)
+
+    def _sent(self, state: State, index: int) -> Iterator[Step]:
+        request = state.requests[index]
+        told = request._replace(told=Told.ANSWERED, answer=index)
+        answered = _write(state, index, told, Phase.ANSWER_WRITE, request.base + 1)
+        yield f"{index} is answered", answered
+        yield f"{index} loses its target", _put(state, index, self._lost(request))
+
+    def _lost(self, request: Request) -> Request:
+        if self._mutant is Mutant.RELEASE_AFTER_LOSS:
+            return request._replace(told=Told.UNKNOWN, phase=Phase.RELEASE_READ)
+        if self._mutant is Mutant.LOSS_TOLD_AS_NOT_RUN:
+            return request._replace(told=Told.NOT_RUN, phase=Phase.OVER)
+        return request._replace(told=Told.UNKNOWN, phase=Phase.OVER)
+
+    def _claim(self, state: State, index: int, request: Request) -> State:
+        if request.tries >= self._bounds.tries:
+            return _put(state, index, self._leave(request._replace(told=Told.NOT_RUN)))
+        tried = request._replace(tries=request.tries + 1)
+        return _write(state, index, tried, Phase.CLAIM_WRITE, tried.base)
+
+    def _leave(self, request: Request) -> Request:
+        if request.uncertain and self._mutant is not Mutant.NO_RELEASE:
+            return request._replace(phase=Phase.RELEASE_READ)
+        return request._replace(phase=Phase.OVER)
+
+    def _claim_read(self, state: State, index: int) -> Iterator[Step]:
+        refused = state.requests[index]._replace(told=Told.NOT_RUN)
+        yield f"{index} cannot read", _put(state, index, self._leave(refused))
+        for version, seen in _reads(state):
+            yield f"{index} reads {version}", self._judge(seen, index, version)
+
+    def _judge(self, state: State, index: int, version: int) -> State:
+        row, request = state.rows[version], state.requests[index]
+        if version > request.base:
+            request = request._replace(uncertain=False)
+        if row.kind is Kind.CLAIMED and self._is_own(row, index):
+            return _put(state, index, _granted(request, version))
+        if self._is_free(state, row, index):
+            aimed = request._replace(base=max(request.base, version))
+            return self._claim(state, index, aimed)
+        if row.kind is Kind.ANSWERED:
+            told = request._replace(told=Told.ANSWERED, answer=row.owner)
+            return _put(state, index, self._leave(told))
+        return _put(state, index, self._leave(request._replace(told=Told.UNKNOWN)))
+
+    def _is_own(self, row: Row, index: int) -> bool:
+        return row.owner == index or self._mutant is Mutant.READ_BACK_WITHOUT_NONCE
+
+    def _is_free(self, state: State, row: Row, index: int) -> bool:
+        if row.kind in (Kind.ABSENT, Kind.RELEASED):
+            return True
+        if row.kind is Kind.ANSWERED:
+            return False
+        if self._mutant is Mutant.TAKE_OVER_AFTER_DEADLINE:
+            return True
+        phase = state.requests[row.owner].phase
+        if self._mutant is Mutant.TAKE_OVER_FROM_DEAD and phase is Phase.DEAD:
+            return True
+        hosts = self._bounds.hosts
+        return hosts[row.owner] == hosts[index] and phase in RELEASES
+
+    def _answer_read(self, state: State, index: int) -> Iterator[Step]:
+        request = state.requests[index]
+        for version, seen in _reads(state):
+            row = seen.rows[version]
+            if row == Row(Kind.CLAIMED, index):
+                again = _write(seen, index, request, Phase.ANSWER_WRITE, version)
+                yield f"{index} reads {version}", again
+            elif row == Row(Kind.ANSWERED, index) or version > request.write:
+                over = request._replace(phase=Phase.OVER)
+                yield f"{index} reads {version}", _put(seen, index, over)
+
+    def _release_read(self, state: State, index: int) -> Iterator[Step]:
+        request = state.requests[index]
+        for version, seen in _reads(state):
+            row = seen.rows[version]
+            own = row == Row(Kind.CLAIMED, index)
+            if not own and (version > request.base or self._skips_fence(row)):
+                over = request._replace(phase=Phase.OVER)
+                yield f"{index} reads {version}", _put(seen, index, over)
+            else:
+                release = _write(seen, index, request, Phase.RELEASE_WRITE, version)
+                yield f"{index} reads {version}", release
+
+    def _skips_fence(self, row: Row) -> bool:
+        return self._mutant is Mutant.RELEASE_WITHOUT_FENCE and row.kind is Kind.ABSENT
+
+    def _arrive(self, state: State, message: Message) -> Iterator[Step]:
+        """Yield what can become of a write, each with what its sender learns or does not."""
+        gone = state._replace(messages=state.messages - {message})
+        owner = message.row.owner
+        name = f"{message.row.kind.name.lower()}({owner}) on {message.base}"
+        if self._applies(state, message):
+            done = gone._replace(rows=(*gone.rows, message.row))
+            yield f"{name} applied", self._reply(done, owner, message, self._on_applied)
+            yield f"{name} applied, no answer", self._reply(done, owner, message, _on_silence)
+        else:
+            yield f"{name} conflicts", self._reply(gone, owner, message, _on_conflict)
+        yield f"{name} lost", self._reply(gone, owner, message, _on_silence)
+        if _awaits(state.requests[owner], message):
+            yield f"{name} refused", self._reply(gone, owner, message, self._on_refused)
+            if self._unattended(state) < self._bounds.late:
+                yield f"{name} late", self._reply(state, owner, message, _on_silence)
+
+    def _unattended(self, state: State) -> int:
+        return sum(not _awaits(state.requests[each.row.owner], each) for each in state.messages)
+
+    def _applies(self, state: State, message: Message) -> bool:
+        if self._mutant is Mutant.WRITE_WITHOUT_VERSION and message.row.kind is Kind.CLAIMED:
+            return True
+        return message.base == len(state.rows) - 1
+
+    def _reply(
+        self, state: State, index: int, message: Message, learn: Callable[[Request], Request]
+    ) -> State:
+        request = state.requests[index]
+        if _awaits(request, message):
+            request = learn(request)
+            if self._mutant is Mutant.SEND_BEFORE_READ_BACK:
+                request = _granted_unseen(request)
+        elif self._grants_late(request, message, learn):
+            request = _granted(request, len(state.rows) - 1)
+        return _put(state, index, request)
+
+    def _grants_late(self, request: Request, message: Message, learn: object) -> bool:
+        late = learn == self._on_applied and message.row.kind is Kind.CLAIMED
+        waits = request.phase is Phase.RELEASE_READ
+        return late and waits and self._mutant is Mutant.GRANT_AFTER_REFUSAL
+
+    def _on_applied(self, request: Request) -> Request:
+        if request.phase is Phase.CLAIM_WRITE:
+            return _granted(request, request.write + 1)
+        return request._replace(phase=Phase.OVER)
+
+    def _on_refused(self, request: Request) -> Request:
+        if request.phase is Phase.CLAIM_WRITE:
+            return self._leave(request._replace(told=Told.NOT_RUN))
+        return _on_conflict(request)
+
+    def _crash(self, state: State, host: int) -> Iterator[Step]:
+        requests = tuple(
+            (
+                request._replace(phase=Phase.DEAD)
+                if self._bounds.hosts[index] == host and request.phase not in ENDED
+                else request
+            )
+            for index, request in enumerate(state.requests)
+        )
+        if requests != state.requests:
+            yield f"host {host} dies", state._replace(requests=requests)
+
+
+def _reads(state: State) -> Iterator[tuple[int, State]]:
+    newest = len(state.rows) - 1
+    yield newest, state
+    if state.stale:
+        for version in range(newest):
+            yield version, state._replace(stale=state.stale - 1)
+
+
+def _on_conflict(request: Request) -> Request:
+    reads = {
+        Phase.CLAIM_WRITE: Phase.CLAIM_READ,
+        Phase.ANSWER_WRITE: Phase.ANSWER_READ,
+        Phase.RELEASE_WRITE: Phase.RELEASE_READ,
+    }
+    return request._replace(phase=reads[request.phase])
+
+
+def _on_silence(request: Request) -> Request:
+    claims = request.phase is Phase.CLAIM_WRITE
+    return _on_conflict(request)._replace(uncertain=request.uncertain or claims)
+
+
+def _granted(request: Request, version: int) -> Request:
+    return request._replace(phase=Phase.HELD, base=version - 1, write=0, tries=0, uncertain=False)
+
+
+def _granted_unseen(request: Request) -> Request:
+    if request.phase is Phase.CLAIM_READ and request.uncertain:
+        return _granted(request, request.write + 1)
+    return request
+
+
+def _awaits(request: Request, message: Message) -> bool:
+    return WRITES.get(request.phase) is message.row.kind and request.write == message.base
+
+
+def _write(state: State, index: int, request: Request, phase: Phase, version: int) -> State:
+    message = Message(Row(WRITES[phase], index), version)
+    written = _put(state, index, request._replace(phase=phase, write=version))
+    return written._replace(messages=written.messages | {message})
+
+
+def _put(state: State, index: int, request: Request) -> State:
+    requests = state.requests
+    if request.phase in (Phase.OVER, Phase.DEAD):
+        request = request._replace(base=0, write=0, tries=0, uncertain=False)
+    return state._replace(requests=(*requests[:index], request, *requests[index + 1 :]))
--- /dev/null
+++ b/spec/publishing.py
@@ -0,0 +1,392 @@
+"""Publishing of rules by several operators, and their adoption by nodes from anywhere.
+
+A node may be offered any rules that were ever in the table, by the table itself through a stale
+read or by a peer however far behind; that covers each order in which news can travel. The
+sources are `pollenbay.commands.publication`, `settlement` and `adoption`.
+"""
+
+from collections.abc import Callable, Iterator
+from enum import Enum, IntEnum
+from typing import NamedTuple
+
+Label = str
+
+
+class Phase(IntEnum):
+    """Where an operator's publication stands."""
+
+    IDLE = 0
+    READ = 1
+    WRITE = 2
+    READ_BACK = 3
+    CLOSE_READ = 4
+    CLOSE_WRITE = 5
+    OVER = 6
+
+
+class Told(IntEnum):
+    """What an operator was told."""
+
+    NOTHING = 0
+    ACCEPTED = 1
+    REFUSED = 2
+    NOT_WRITTEN = 3
+    UNSETTLED = 4
+
+
+class Kind(IntEnum):
+    """What a write would do, and what the record of a publication says."""
+
+    NONE = 0
+    PUBLISH = 1
+    CONFIRM = 2
+    CLOSE = 3
+
+
+class Mutant(Enum):
+    """One fault put into the protocol, which the checker must find."""
+
+    PUBLISH_WITHOUT_VERSION = "rules are written whatever version is current"
+    RETRY_WITHOUT_RECORD = "a write is sent again with nothing that tells it from the first"
+    SILENCE_TOLD_AS_REFUSED = "a write without an answer is told as refused"
+    SILENCE_TOLD_AS_ACCEPTED = "a write without an answer is told as accepted"
+    SILENCE_TOLD_AS_NOT_WRITTEN = "a write without an answer is told as not written"
+    REFUSE_WITHOUT_RECORD = "a refusal leaves no record that stops a late write"
+    ADOPT_LOWER = "a node adopts whatever it is offered"
+    CLOSE_WITHOUT_CHECK = "a refusal is recorded over whatever is recorded"
+
+
+class Bounds(NamedTuple):
+    """Size of the model.
+
+    :param digests: digest that each operator publishes; equal ones are equal rules.
+    :param nodes: nodes that adopt.
+    :param tries: writes by which a publication tries.
+    :param restarts: restarts of nodes in all.
+    :param late: writes that may be on their way at once with nobody waiting for them.
+    :param stale: reads of operators that may show the past, any that there was.
+    """
+
+    digests: tuple[int, ...] = (0, 1)
+    nodes: int = 2
+    tries: int = 2
+    restarts: int = 1
+    late: int = 1
+    stale: int = 0
+
+
+class Rules(NamedTuple):
+    """One published set of rules; version 0 stands for none.
+
+    :param operator: who published it.
+    """
+
+    version: int = 0
+    digest: int = -1
+    operator: int = -1
+
+
+class Record(NamedTuple):
+    """What is recorded of a publication.
+
+    :param version: version that was published or confirmed.
+    """
+
+    kind: Kind = Kind.NONE
+    version: int = 0
+
+
+class Message(NamedTuple):
+    """A write on its way to the table.
+
+    :param base: version of the rules that it demands; a close demands none.
+    """
+
+    kind: Kind
+    operator: int
+    base: int
+
+
+class Operator(NamedTuple):
+    """One publication.
+
+    :param version: version that the operator was told.
+    :param expected: version that it builds on; -1 before the first read.
+    :param sent: whether a write of it may have been applied or may still be.
+    :param write: what its last write would do.
+    """
+
+    phase: Phase = Phase.IDLE
+    told: Told = Told.NOTHING
+    version: int = 0
+    expected: int = -1
+    tries: int = 0
+    sent: bool = False
+    write: Kind = Kind.NONE
+
+
+class Node(NamedTuple):
+    """One node.
+
+    :param peak: highest version that was in force in this incarnation.
+    """
+
+    rules: Rules = Rules()
+    peak: int = 0
+
+
+class State(NamedTuple):
+    """Everything.
+
+    :param history: all that was ever the current rules, in order; the last is current.
+    :param restarts: restarts that are left.
+    :param stale: stale reads that are left.
+    """
+
+    history: tuple[Rules, ...]
+    records: tuple[Record, ...]
+    messages: frozenset[Message]
+    operators: tuple[Operator, ...]
+    nodes: tuple[Node, ...]
+    restarts: int
+    stale: int
+
+
+Step = tuple[Label, State]
+Learn = Callable[[State, int], State]
+
+
+class PublishSpec:
+    """The protocol, whole or with one mutant."""
+
+    def __init__(self, bounds: Bounds, mutant: Mutant | None = None) -> None:
+        self._bounds = bounds
+        self._mutant = mutant
+        self._by_phase: dict[Phase, Callable[[State, int], Iterator[Step]]] = {
+            Phase.IDLE: self._idle,
+            Phase.READ: self._read,
+            Phase.READ_BACK: self._read_back,
+            Phase.CLOSE_READ: self._close_read,
+            Phase.OVER: self._settle,
+        }
+
+    @property
+    def initial(self) -> State:
+        """Return the state before any publication."""
+        count = len(self._bounds.digests)
+        return State(
+            history=(Rules(),),
+            records=(Record(),) * count,
+            messages=frozenset(),
+            operators=(Operator(),) * count,
+            nodes=(Node(),) * self._bounds.nodes,
+            restarts=self._bounds.restarts,
+            stale=self._bounds.stale,
+        )
+
+    def steps(self, state: State) -> list[Step]:
+        """Return all steps from a state."""
+        found: list[Step] = []
+        for index, operator in enumerate(state.operators):
+            step = self._by_phase.get(operator.phase)
+            if step is not None:
+                found.extend(step(state, index))
+        for message in state.messages:
+            found.extend(self._arrive(state, message))
+        for index in range(self._bounds.nodes):
+            found.extend(self._offer(state, index))
+            found.extend(self._restart(state, index))
+        return found
+
+    def _idle(self, state: State, index: int) -> Iterator[Step]:
+        started = state.operators[index]._replace(phase=Phase.READ)
+        yield f"operator {index} starts", _put(state, index, started)
+
+    def _read(self, state: State, index: int) -> Iterator[Step]:
+        yield f"operator {index} cannot read", self._give_up(state, index)
+        yield f"operator {index} reads", self._attempt(state, index, state.history[-1])
+        if state.stale:
+            fewer = state._replace(stale=state.stale - 1)
+            for rules in state.history[:-1]:
+                yield f"operator {index} reads the past", self._attempt(fewer, index, rules)
+
+    def _attempt(self, state: State, index: int, current: Rules) -> State:
+        operator = state.operators[index]
+        if operator.expected < 0:
+            operator = operator._replace(expected=current.version)
+        if operator.tries >= self._bounds.tries:
+            return _put(state, index, operator._replace(phase=Phase.CLOSE_READ))
+        same = current.version > 0 and current.digest == self._bounds.digests[index]
+        if not same and current.version != operator.expected:
+            return _put(state, index, self._refuse(operator))
+        kind = Kind.CONFIRM if same else Kind.PUBLISH
+        tried = operator._replace(phase=Phase.WRITE, tries=operator.tries + 1, write=kind)
+        return _send(_put(state, index, tried), Message(kind, index, current.version))
+
+    def _refuse(self, operator: Operator) -> Operator:
+        if self._mutant is Mutant.REFUSE_WITHOUT_RECORD:
+            return operator._replace(phase=Phase.OVER, told=Told.REFUSED)
+        return operator._replace(phase=Phase.CLOSE_READ)
+
+    def _give_up(self, state: State, index: int) -> State:
+        operator = state.operators[index]
+        told = Told.UNSETTLED if operator.sent else Told.NOT_WRITTEN
+        return _put(state, index, operator._replace(phase=Phase.OVER, told=told))
+
+    def _read_back(self, state: State, index: int) -> Iterator[Step]:
+        yield f"operator {index} cannot read back", self._give_up(state, index)
+        for record, seen in _reads(state, index):
+            if record.kind is not Kind.NONE:
+                yield f"operator {index} reads back", _tell_record(seen, index)
+            else:
+                again = seen.operators[index]._replace(phase=Phase.READ)
+                yield f"operator {index} finds no record", _put(seen, index, again)
+
+    def _close_read(self, state: State, index: int) -> Iterator[Step]:
+        operator = state.operators[index]
+        unsettled = operator._replace(phase=Phase.OVER, told=Told.UNSETTLED)
+        yield f"operator {index} cannot read its record", _put(state, index, unsettled)
+        for record, seen in _reads(state, index):
+            if record.kind is not Kind.NONE:
+                yield f"operator {index} reads its record", _tell_record(seen, index)
+            else:
+                closing = operator._replace(phase=Phase.CLOSE_WRITE, write=Kind.CLOSE)
+                closed = _send(_put(seen, index, closing), Message(Kind.CLOSE, index, 0))
+                yield f"operator {index} closes", closed
+
+    def _settle(self, state: State, index: int) -> Iterator[Step]:
+        operator = state.operators[index]
+        if operator.told is Told.UNSETTLED:
+            again = operator._replace(phase=Phase.CLOSE_READ, told=Told.NOTHING)
+            yield f"operator {index} settles", _put(state, index, again)
+
+    def _arrive(self, state: State, message: Message) -> Iterator[Step]:
+        """Yield what can become of a write, each with what its sender learns or does not."""
+        gone = state._replace(messages=state.messages - {message})
+        index = message.operator
+        name = f"{message.kind.name.lower()}({index}) on {message.base}"
+        if self._applies(state, message):
+            done = self._apply(gone, message)
+            yield f"{name} applied", self._reply(done, message, _on_applied)
+            yield f"{name} applied, no answer", self._reply(done, message, self._on_silence)
+        else:
+            yield f"{name} conflicts", self._reply(gone, message, self._on_conflict)
+        yield f"{name} lost", self._reply(gone, message, self._on_silence)
+        if _awaits(state.operators[index], message):
+            yield f"{name} refused", self._reply(gone, message, self._on_unavailable)
+            if _unattended(state) < self._bounds.late:
+                yield f"{name} late", self._reply(state, message, self._on_silence)
+
+    def _applies(self, state: State, message: Message) -> bool:
+        unrecorded = state.records[message.operator].kind is Kind.NONE
+        if message.kind is Kind.CLOSE:
+            return unrecorded or self._mutant is Mutant.CLOSE_WITHOUT_CHECK
+        if self._mutant is Mutant.RETRY_WITHOUT_RECORD:
+            unrecorded = True
+        if self._mutant is Mutant.PUBLISH_WITHOUT_VERSION:
+            return unrecorded
+        return unrecorded and state.history[-1].version == message.base
+
+    def _apply(self, state: State, message: Message) -> State:
+        index = message.operator
+        version = message.base
+        if message.kind is Kind.PUBLISH:
+            version += 1
+            rules = Rules(version, self._bounds.digests[index], index)
+            state = state._replace(history=(*state.history, rules))
+        record = Record(message.kind, version)
+        records = (*state.records[:index], record, *state.records[index + 1 :])
+        return state._replace(records=records)
+
+    def _reply(self, state: State, message: Message, learn: Learn) -> State:
+        if not _awaits(state.operators[message.operator], message):
+            return state
+        return learn(state, message.operator)
+
+    def _on_conflict(self, state: State, index: int) -> State:
+        operator = state.operators[index]
+        if operator.phase is Phase.CLOSE_WRITE:
+            return _put(state, index, operator._replace(phase=Phase.CLOSE_READ))
+        if self._mutant is Mutant.RETRY_WITHOUT_RECORD:
+            return _put(state, index, operator._replace(phase=Phase.READ, expected=-1))
+        return _put(state, index, operator._replace(phase=Phase.READ_BACK))
+
+    def _on_silence(self, state: State, index: int) -> State:
+        operator = state.operators[index]._replace(sent=True)
+        told = _SILENCE_TOLD.get(self._mutant)
+        if operator.phase is Phase.WRITE and told is not None:
+            version = state.history[-1].version
+            over = operator._replace(phase=Phase.OVER, told=told, version=version)
+            return _put(state, index, over)
+        return self._on_conflict(_put(state, index, operator), index)
+
+    def _on_unavailable(self, state: State, index: int) -> State:
+        if state.operators[index].phase is Phase.CLOSE_WRITE:
+            return self._on_conflict(state, index)
+        return self._give_up(state, index)
+
+    def _offer(self, state: State, index: int) -> Iterator[Step]:
+        node = state.nodes[index]
+        for rules in set(state.history):
+            if rules != node.rules and self._adopts(node, rules):
+                adopted = Node(rules, max(node.peak, rules.version))
+                yield f"node {index} adopts {rules.version}", _place(state, index, adopted)
+
+    def _adopts(self, node: Node, rules: Rules) -> bool:
+        if self._mutant is Mutant.ADOPT_LOWER:
+            return True
+        return rules.version > node.rules.version
+
+    def _restart(self, state: State, index: int) -> Iterator[Step]:
+        if state.restarts and state.nodes[index] != Node():
+            fewer = state._replace(restarts=state.restarts - 1)
+            yield f"node {index} restarts", _place(fewer, index, Node())
+
+
+_SILENCE_TOLD = {
+    Mutant.SILENCE_TOLD_AS_REFUSED: Told.REFUSED,
+    Mutant.SILENCE_TOLD_AS_ACCEPTED: Told.ACCEPTED,
+    Mutant.SILENCE_TOLD_AS_NOT_WRITTEN: Told.NOT_WRITTEN,
+}
+
+
+def _on_applied(state: State, index: int) -> State:
+    return _tell_record(state, index)
+
+
+def _reads(state: State, index: int) -> Iterator[tuple[Record, State]]:
+    record = state.records[index]
+    yield record, state
+    if state.stale and record.kind is not Kind.NONE:
+        yield Record(), state._replace(stale=state.stale - 1)
+
+
+def _tell_record(state: State, index: int) -> State:
+    record, operator = state.records[index], state.operators[index]
+    told = Told.REFUSED if record.kind is Kind.CLOSE else Told.ACCEPTED
+    over = operator._replace(phase=Phase.OVER, told=told, version=record.version)
+    return _put(state, index, over)
+
+
+def _awaits(operator: Operator, message: Message) -> bool:
+    if operator.phase is Phase.CLOSE_WRITE:
+        return message.kind is Kind.CLOSE
+    return operator.phase is Phase.WRITE and message.kind is operator.write
+
+
+def _unattended(state: State) -> int:
+    return sum(not _awaits(state.operators[each.operator], each) for each in state.messages)
+
+
+def _send(state: State, message: Message) -> State:
+    return state._replace(messages=state.messages | {message})
+
+
+def _put(state: State, index: int, operator: Operator) -> State:
+    operators = state.operators
+    return state._replace(operators=(*operators[:index], operator, *operators[index + 1 :]))
+
+
+def _place(state: State, index: int, node: Node) -> State:
+    nodes = state.nodes
+    return state._replace(nodes=(*nodes[:index], node, *nodes[index + 1 :]))
--- /dev/null
+++ b/spec/runs.py
@@ -0,0 +1,131 @@
+"""The runs that CI makes: models and bounds, mutants, and states that must be reachable."""
+
+from typing import NamedTuple
+
+from minicheck import Protocol, check_safety
+
+from spec import claiming, publishing
+from spec.claiming_rules import make_claim_protocol, make_claim_reachability
+from spec.publishing_rules import (
+    REACHABLE,
+    REACHABLE_WITH_EQUAL_DIGESTS,
+    make_publish_protocol,
+    make_publish_reachability,
+)
+
+MAX_STATES = 1_000_000
+#: A counterexample is one however few states were seen; a mutant needs no whole run.
+MUTANT_MAX_STATES = 60_000
+
+CLAIM_BOUNDS = (
+    claiming.Bounds(hosts=(0, 1), tries=2, stale=2, late=2),
+    claiming.Bounds(hosts=(0, 0), tries=2, stale=1, late=2),
+    claiming.Bounds(hosts=(0, 1, 0), tries=2, stale=0, late=0),
+)
+PUBLISH_BOUNDS = (
+    publishing.Bounds(digests=(0, 1), nodes=2, tries=2, restarts=1, late=1, stale=1),
+    publishing.Bounds(digests=(0, 1, 0), nodes=0, tries=1, restarts=0, late=1, stale=0),
+)
+CLAIM_MUTANT_BOUNDS = claiming.Bounds(hosts=(0, 1), tries=2, stale=0, late=2)
+PUBLISH_MUTANT_BOUNDS = publishing.Bounds(
+    digests=(0, 1), nodes=1, tries=2, restarts=0, late=1, stale=0
+)
+REACHABLE_BOUNDS = publishing.Bounds(digests=(0, 1), nodes=2, tries=2, restarts=0, late=1, stale=0)
+EQUAL_DIGEST_BOUNDS = publishing.Bounds(
+    digests=(0, 0), nodes=1, tries=2, restarts=0, late=1, stale=0
+)
+
+#: The first promise that each mutant breaks.
+CLAIM_MUTANTS = {
+    claiming.Mutant.TAKE_OVER_AFTER_DEADLINE: "runs_at_most_once",
+    claiming.Mutant.TAKE_OVER_FROM_DEAD: "runs_at_most_once",
+    claiming.Mutant.SEND_BEFORE_READ_BACK: "runs_at_most_once",
+    claiming.Mutant.READ_BACK_WITHOUT_NONCE: "runs_at_most_once",
+    claiming.Mutant.WRITE_WITHOUT_VERSION: "runs_at_most_once",
+    claiming.Mutant.GRANT_AFTER_REFUSAL: "not_run_is_true",
+    claiming.Mutant.RELEASE_AFTER_LOSS: "runs_at_most_once",
+    claiming.Mutant.LOSS_TOLD_AS_NOT_RUN: "not_run_is_true",
+    claiming.Mutant.RELEASE_WITHOUT_FENCE: "no_row_is_left_for_nothing",
+    claiming.Mutant.NO_RELEASE: "no_row_is_left_for_nothing",
+}
+PUBLISH_MUTANTS = {
+    publishing.Mutant.PUBLISH_WITHOUT_VERSION: "one_digest_a_version",
+    publishing.Mutant.RETRY_WITHOUT_RECORD: "published_at_most_once",
+    publishing.Mutant.SILENCE_TOLD_AS_REFUSED: "refused_is_not_published",
+    publishing.Mutant.SILENCE_TOLD_AS_ACCEPTED: "accepted_is_published",
+    publishing.Mutant.SILENCE_TOLD_AS_NOT_WRITTEN: "refused_is_not_published",
+    publishing.Mutant.REFUSE_WITHOUT_RECORD: "refused_is_not_published",
+    publishing.Mutant.CLOSE_WITHOUT_CHECK: "refused_is_not_published",
+    publishing.Mutant.ADOPT_LOWER: "in_force_never_falls",
+}
+
+
+class Finding(NamedTuple):
+    """What a run found out about one invariant.
+
+    :param holds: None if the run ended before it was decided.
+    :param trace: steps to a state that breaks it.
+    """
+
+    holds: bool | None
+    trace: tuple[str, ...]
+
+
+class Result(NamedTuple):
+    """What a run found out.
+
+    :param exhaustive: whether every reachable state was seen.
+    """
+
+    states: int
+    exhaustive: bool
+    findings: dict[str, Finding]
+
+
+def check(protocol: Protocol, max_states: int = MAX_STATES) -> Result:
+    """Check the invariants of a model in every state, up to a number of states."""
+    report = check_safety(protocol, max_states)
+    findings = {
+        name: Finding(found["holds"], _trace_of(found["counterexample"]))
+        for name, found in report["properties"].items()
+    }
+    return Result(report["reachable_states"], report["exhaustive"], findings)
+
+
+def whole_models() -> dict[str, Protocol]:
+    """Return the models whose invariants must hold, by name and bounds."""
+    claims = {f"claiming {bounds}": make_claim_protocol(bounds) for bounds in CLAIM_BOUNDS}
+    publishings = {
+        f"publishing {bounds}": make_publish_protocol(bounds) for bounds in PUBLISH_BOUNDS
+    }
+    return claims | publishings
+
+
+def mutant_models() -> dict[str, tuple[Protocol, str]]:
+    """Return the models that must break, each with the promise that it breaks."""
+    claims = {
+        f"claiming {mutant.name}": (make_claim_protocol(CLAIM_MUTANT_BOUNDS, mutant), broken)
+        for mutant, broken in CLAIM_MUTANTS.items()
+    }
+    publishings = {
+        f"publishing {mutant.name}": (make_publish_protocol(PUBLISH_MUTANT_BOUNDS, mutant), broken)
+        for mutant, broken in PUBLISH_MUTANTS.items()
+    }
+    return claims | publishings
+
+
+def reachability_models() -> dict[str, Protocol]:
+    """Return the models with one invariant for each state that must be reachable, to be broken."""
+    return {
+        "claiming": make_claim_reachability(CLAIM_MUTANT_BOUNDS),
+        "publishing": make_publish_reachability(REACHABLE_BOUNDS, REACHABLE),
+        "publishing equal rules": make_publish_reachability(
+            EQUAL_DIGEST_BOUNDS, REACHABLE_WITH_EQUAL_DIGESTS
+        ),
+    }
+
+
+def _trace_of(counterexample: list[dict] | None) -> tuple[str, ...]:
+    if counterexample is None:
+        return ()
+    return tuple(step["label"] for step in counterexample if step["label"] is not None)
