--- a/tests/test_admin.py
+++ b/tests/test_admin.py
@@ -10,6 +10,7 @@
 from msgspec.json import decode, encode
 from stepped_table import Fault, drive
 
+from pollenbay import admin
 from pollenbay.admin import BODY_LIMIT_BYTES, respond, serve_admin
 from pollenbay.http1 import HttpRequest, HttpResponse
 from pollenbay.node import Node
@@ -47,7 +48,10 @@
 
 
 class TestToken:
-    @pytest.mark.parametrize("path", [b"/v1/status", b"/v1/rules", b"/v1/history", b"/v1/members"])
+    @pytest.mark.parametrize(
+        "path",
+        [b"/v1/status", b"/v1/rules", b"/v1/history", b"/v1/members", b"/v1/rollout?version=1"],
+    )
     @pytest.mark.parametrize("token", [None, "", "wrong", TOKEN + "x", TOKEN[:-1], "é"])
     def test_queries_are_refused_without_it(self, path: bytes, token: str | None) -> None:
         response = _ask(make_admin_node(), make_request(b"GET", path, token=token))
@@ -120,6 +124,12 @@
         assert response.status == 400
         assert "limit" in _error(response)
 
+    @pytest.mark.parametrize("query", [b"", b"?version=0", b"?version=-1", b"?version=1&x=2"])
+    def test_rollout_wants_a_version(self, query: bytes) -> None:
+        response = _get(make_admin_node(), b"/v1/rollout" + query)
+        assert response.status == 400
+        assert "version" in _error(response)
+
 
 class TestCommands:
     def test_publish(self) -> None:
@@ -239,6 +249,12 @@
         assert answer.startswith(b"HTTP/1.1 " + status)
         assert b"connection: close" in answer.lower()
 
+    def test_request_that_stops_short_does_not_hold_the_connection(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(admin, "REQUEST_TIMEOUT_S", 0.2)
+        assert _exchange(b"GET /healthz HTTP/1.1\r\nhost:", None, 1) == b""
+
     def test_client_that_goes_away_harms_nobody(self) -> None:
         node = make_admin_node()
 
