--- a/src/pollenbay/batch.py
+++ b/src/pollenbay/batch.py
@@ -5,7 +5,7 @@
 from enum import Enum
 from time import monotonic
 
-from curio import Event, TaskGroup, ignore_after, sleep
+from curio import Event, TaskGroup, sleep
 from msgspec import Struct
 from result import Err, Ok, Result
 
@@ -119,6 +119,7 @@
         self._urgent: deque[PendingWrite] = deque()
         self._patient: deque[PendingWrite] = deque()
         self._arrived = Event()
+        self._patient_arrived = Event()
         self._next_start = 0.0
         self._transactions = 0
         self._rows = 0
@@ -148,9 +149,12 @@
         if self.queued >= QUEUE_LIMIT_ROWS:
             return Err(BatchFullError(f"{self.queued} changes wait"))
         pending = PendingWrite(change, monotonic() + patience_s)
-        queue = self._patient if patience_s else self._urgent
-        queue.append(pending)
-        await self._arrived.set()
+        if patience_s > 0.0:
+            self._patient.append(pending)
+            await self._patient_arrived.set()
+        else:
+            self._urgent.append(pending)
+            await self._arrived.set()
         return Ok(pending)
 
     def withdraw(self, pending: PendingWrite) -> bool:
@@ -166,6 +170,7 @@
         async with TaskGroup() as group:
             for _ in range(WRITERS):
                 await group.spawn(self._write_each)
+            await group.spawn(self._promote_each)
 
     async def _write_each(self) -> None:
         while True:
@@ -175,11 +180,22 @@
 
     async def _wait_for_work(self) -> None:
         while not self._urgent:
-            left_s = self._patient[0].due - monotonic() if self._patient else None
-            if left_s is not None and left_s <= 0.0:
-                return
             self._arrived.clear()
-            await ignore_after(left_s, self._arrived.wait)
+            await self._arrived.wait()
+
+    async def _promote_each(self) -> None:
+        while True:
+            while not self._patient:
+                self._patient_arrived.clear()
+                await self._patient_arrived.wait()
+            await sleep(max(self._patient[0].due - monotonic(), 0.0))
+            await self._promote_due(monotonic())
+
+    async def _promote_due(self, now: float) -> None:
+        while self._patient and self._patient[0].due <= now:
+            self._urgent.append(self._patient.popleft())
+        if self._urgent:
+            await self._arrived.set()
 
     async def _wait_for_gap(self) -> bool:
         left_s = self._next_start - monotonic()
--- a/tests/test_batch.py
+++ b/tests/test_batch.py
@@ -5,7 +5,15 @@
 from curio import Event, Kernel, sleep, spawn, timeout_after
 from table_double import Fault, TableDouble
 
-from pollenbay.batch import BATCH_BYTES, Batcher, Change, PendingWrite, WriteState, make_batcher
+from pollenbay.batch import (
+    BATCH_BYTES,
+    QUEUE_LIMIT_ROWS,
+    Batcher,
+    Change,
+    PendingWrite,
+    WriteState,
+    make_batcher,
+)
 from pollenbay.ids import RowKey, RowVersion
 from pollenbay.table import Table
 
@@ -25,10 +33,12 @@
         kernel.run(timeout_after, TEST_TIMEOUT_S, main)
 
 
-async def submit(batcher: Batcher, key: str, version: int = 0, value: bytes = b"v") -> PendingWrite:
+async def submit(
+    batcher: Batcher, key: str, version: int = 0, value: bytes = b"v", patience_s: float = 0.0
+) -> PendingWrite:
     """Queue a change that is taken."""
     change = Change(RowKey(key), RowVersion(version), value)
-    return (await batcher.submit(change)).unwrap()
+    return (await batcher.submit(change, patience_s)).unwrap()
 
 
 class TestSharing:
@@ -67,6 +77,34 @@
         run_test(test)
 
 
+class TestPatience:
+    def test_a_patient_change_leaves_with_the_next_urgent_one(self) -> None:
+        async def test(batcher: Batcher, table: TableDouble) -> None:
+            patient = await submit(batcher, "a", patience_s=2 * TEST_TIMEOUT_S)
+            await sleep(0.01)
+            assert patient.state is WriteState.QUEUED
+            await submit(batcher, "b")
+            assert await patient.wait() is WriteState.APPLIED
+            assert table.sizes == [2]
+
+        run_test(test)
+
+    def test_a_patient_change_leaves_alone_when_it_is_due(self) -> None:
+        async def test(batcher: Batcher, table: TableDouble) -> None:
+            patient = await submit(batcher, "a", patience_s=0.01)
+            assert await patient.wait() is WriteState.APPLIED
+
+        run_test(test)
+
+    def test_patient_changes_count_against_the_limit(self) -> None:
+        async def test(batcher: Batcher, table: TableDouble) -> None:
+            for n in range(QUEUE_LIMIT_ROWS):
+                await submit(batcher, f"k{n}", patience_s=2 * TEST_TIMEOUT_S)
+            assert (await batcher.submit(Change(RowKey("a"), RowVersion(0), b"v"))).is_err()
+
+        run_test(test)
+
+
 class TestResults:
     def test_each_fault_has_its_state(self) -> None:
         async def test(batcher: Batcher, table: TableDouble) -> None:
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -20,6 +20,7 @@
     row_key_of,
 )
 from pollenbay.commands.claim import (
+    BRIEF_S,
     PROBE_PERIOD_S,
     abandon_claim,
     drain_ledger,
@@ -129,6 +130,48 @@
 
         run_test(test)
 
+    def test_repeats_of_an_answered_call_cost_no_use_of_the_table(self) -> None:
+        async def test(hosts: Hosts) -> None:
+            first, other = await hosts.start("b1"), await hosts.start("b2")
+            claim = await take_claim(first, hosts.request())
+            await record_answer(first, claim, ANSWER)
+            assert await take_claim(first, hosts.request()) == ANSWER
+            await settle(first)
+            assert await take_claim(other, hosts.request()) == ANSWER
+            before = (len(hosts.table.sizes), hosts.table.reads)
+            hosts.table.down = True
+            for ledger in (first, other):
+                assert await take_claim(ledger, hosts.request()) == ANSWER
+            assert (len(hosts.table.sizes), hosts.table.reads) == before
+
+        run_test(test)
+
+    def test_that_the_first_still_runs_is_remembered_briefly(self) -> None:
+        async def test(hosts: Hosts) -> None:
+            first, other = await hosts.start("b1"), await hosts.start("b2")
+            claim = await take_claim(first, hosts.request())
+            assert await take_claim(other, hosts.request()) == Unknown(Reason.DUPLICATE)
+            await record_answer(first, claim, ANSWER)
+            await settle(first)
+            reads = hosts.table.reads
+            assert await take_claim(other, hosts.request()) == Unknown(Reason.DUPLICATE)
+            assert hosts.table.reads == reads
+            hosts.timer.time_s += 2 * BRIEF_S
+            assert await take_claim(other, hosts.request()) == ANSWER
+
+        run_test(test)
+
+    def test_refusal_of_another_request_is_not_remembered(self) -> None:
+        async def test(hosts: Hosts) -> None:
+            first, other = await hosts.start("b1"), await hosts.start("b2")
+            claim = await take_claim(first, hosts.request())
+            changed = hosts.request(body=b"two bales")
+            assert await take_claim(other, changed) == NotRun(Reason.BAD_REQUEST)
+            await release_claim(first, claim)
+            assert isinstance(await take_claim(other, changed), Claim)
+
+        run_test(test)
+
     def test_key_of_another_request_is_refused(self) -> None:
         async def test(hosts: Hosts) -> None:
             first, other = await hosts.start("b1"), await hosts.start("b2")
@@ -207,6 +250,30 @@
 
         run_test(test)
 
+    def test_release_is_written_when_it_returns(self) -> None:
+        async def test(hosts: Hosts) -> None:
+            first, other = await hosts.start("b1"), await hosts.start("b2")
+            claim = await take_claim(first, hosts.request())
+            await release_claim(first, claim)
+            assert isinstance(await take_claim(other, hosts.request()), Claim)
+            assert hosts.table.reads == 1
+
+        run_test(test)
+
+    def test_release_does_not_wait_for_a_table_that_is_down(self) -> None:
+        async def test(hosts: Hosts) -> None:
+            ledger = await hosts.start("b1")
+            claim = await take_claim(ledger, hosts.request())
+            hosts.table.down = True
+            with patch("pollenbay.commands.claim.RELEASE_WAIT_S", 0.01):
+                await timeout_after(SETTLE_S, release_claim, ledger, claim)
+            assert ledger.records == 1
+            hosts.table.down = False
+            await settle(ledger)
+            assert isinstance(hosts.row(), ReleasedRow)
+
+        run_test(test)
+
     def test_holder_may_claim_again_before_the_release_is_written(self) -> None:
         async def test(hosts: Hosts) -> None:
             ledger = await hosts.start("b1")
