--- a/spec/claiming_rules.py
+++ b/spec/claiming_rules.py
@@ -5,7 +5,8 @@
 
 from minicheck import Protocol
 
-from spec.claiming import Bounds, ClaimSpec, Kind, Mutant, Phase, Request, Told
+from spec.claim_state import Bounds, Kind, Mutant, Phase, Request, Told
+from spec.claiming import ClaimSpec
 
 Fields = dict[str, Any]
 Predicate = Callable[[Fields], bool]
--- a/spec/publishing_rules.py
+++ b/spec/publishing_rules.py
@@ -5,7 +5,8 @@
 
 from minicheck import Protocol
 
-from spec.publishing import Bounds, Kind, Mutant, PublishSpec, Rules, Told
+from spec.publish_state import Bounds, Kind, Mutant, Rules, Told
+from spec.publishing import PublishSpec
 
 Fields = dict[str, Any]
 Predicate = Callable[[Fields], bool]
--- a/spec/runs.py
+++ b/spec/runs.py
@@ -4,7 +4,7 @@
 
 from minicheck import Protocol, check_safety
 
-from spec import claiming, publishing
+from spec import claim_state, publish_state
 from spec.claiming_rules import make_claim_protocol, make_claim_reachability
 from spec.publishing_rules import (
     REACHABLE,
@@ -18,45 +18,47 @@
 MUTANT_MAX_STATES = 60_000
 
 CLAIM_BOUNDS = (
-    claiming.Bounds(hosts=(0, 1), tries=2, stale=2, late=2),
-    claiming.Bounds(hosts=(0, 0), tries=2, stale=1, late=2),
-    claiming.Bounds(hosts=(0, 1, 0), tries=2, stale=0, late=0),
+    claim_state.Bounds(hosts=(0, 1), tries=2, stale=2, late=2),
+    claim_state.Bounds(hosts=(0, 0), tries=2, stale=1, late=2),
+    claim_state.Bounds(hosts=(0, 1, 0), tries=2, stale=0, late=0),
 )
 PUBLISH_BOUNDS = (
-    publishing.Bounds(digests=(0, 1), nodes=2, tries=2, restarts=1, late=1, stale=1),
-    publishing.Bounds(digests=(0, 1, 0), nodes=0, tries=1, restarts=0, late=1, stale=0),
+    publish_state.Bounds(digests=(0, 1), nodes=2, tries=2, restarts=1, late=1, stale=1),
+    publish_state.Bounds(digests=(0, 1, 0), nodes=0, tries=1, restarts=0, late=1, stale=0),
 )
-CLAIM_MUTANT_BOUNDS = claiming.Bounds(hosts=(0, 1), tries=2, stale=0, late=2)
-PUBLISH_MUTANT_BOUNDS = publishing.Bounds(
+CLAIM_MUTANT_BOUNDS = claim_state.Bounds(hosts=(0, 1), tries=2, stale=0, late=2)
+PUBLISH_MUTANT_BOUNDS = publish_state.Bounds(
     digests=(0, 1), nodes=1, tries=2, restarts=0, late=1, stale=0
 )
-REACHABLE_BOUNDS = publishing.Bounds(digests=(0, 1), nodes=2, tries=2, restarts=0, late=1, stale=0)
-EQUAL_DIGEST_BOUNDS = publishing.Bounds(
+REACHABLE_BOUNDS = publish_state.Bounds(
+    digests=(0, 1), nodes=2, tries=2, restarts=0, late=1, stale=0
+)
+EQUAL_DIGEST_BOUNDS = publish_state.Bounds(
     digests=(0, 0), nodes=1, tries=2, restarts=0, late=1, stale=0
 )
 
 #: The first promise that each mutant breaks.
 CLAIM_MUTANTS = {
-    claiming.Mutant.TAKE_OVER_AFTER_DEADLINE: "runs_at_most_once",
-    claiming.Mutant.TAKE_OVER_FROM_DEAD: "runs_at_most_once",
-    claiming.Mutant.SEND_BEFORE_READ_BACK: "runs_at_most_once",
-    claiming.Mutant.READ_BACK_WITHOUT_NONCE: "runs_at_most_once",
-    claiming.Mutant.WRITE_WITHOUT_VERSION: "runs_at_most_once",
-    claiming.Mutant.GRANT_AFTER_REFUSAL: "not_run_is_true",
-    claiming.Mutant.RELEASE_AFTER_LOSS: "runs_at_most_once",
-    claiming.Mutant.LOSS_TOLD_AS_NOT_RUN: "not_run_is_true",
-    claiming.Mutant.RELEASE_WITHOUT_FENCE: "no_row_is_left_for_nothing",
-    claiming.Mutant.NO_RELEASE: "no_row_is_left_for_nothing",
+    claim_state.Mutant.TAKE_OVER_AFTER_DEADLINE: "runs_at_most_once",
+    claim_state.Mutant.TAKE_OVER_FROM_DEAD: "runs_at_most_once",
+    claim_state.Mutant.SEND_BEFORE_READ_BACK: "runs_at_most_once",
+    claim_state.Mutant.READ_BACK_WITHOUT_NONCE: "runs_at_most_once",
+    claim_state.Mutant.WRITE_WITHOUT_VERSION: "runs_at_most_once",
+    claim_state.Mutant.GRANT_AFTER_REFUSAL: "not_run_is_true",
+    claim_state.Mutant.RELEASE_AFTER_LOSS: "runs_at_most_once",
+    claim_state.Mutant.LOSS_TOLD_AS_NOT_RUN: "not_run_is_true",
+    claim_state.Mutant.RELEASE_WITHOUT_FENCE: "no_row_is_left_for_nothing",
+    claim_state.Mutant.NO_RELEASE: "no_row_is_left_for_nothing",
 }
 PUBLISH_MUTANTS = {
-    publishing.Mutant.PUBLISH_WITHOUT_VERSION: "one_digest_a_version",
-    publishing.Mutant.RETRY_WITHOUT_RECORD: "published_at_most_once",
-    publishing.Mutant.SILENCE_TOLD_AS_REFUSED: "refused_is_not_published",
-    publishing.Mutant.SILENCE_TOLD_AS_ACCEPTED: "accepted_is_published",
-    publishing.Mutant.SILENCE_TOLD_AS_NOT_WRITTEN: "refused_is_not_published",
-    publishing.Mutant.REFUSE_WITHOUT_RECORD: "refused_is_not_published",
-    publishing.Mutant.CLOSE_WITHOUT_CHECK: "refused_is_not_published",
-    publishing.Mutant.ADOPT_LOWER: "in_force_never_falls",
+    publish_state.Mutant.PUBLISH_WITHOUT_VERSION: "one_digest_a_version",
+    publish_state.Mutant.RETRY_WITHOUT_RECORD: "published_at_most_once",
+    publish_state.Mutant.SILENCE_TOLD_AS_REFUSED: "refused_is_not_published",
+    publish_state.Mutant.SILENCE_TOLD_AS_ACCEPTED: "accepted_is_published",
+    publish_state.Mutant.SILENCE_TOLD_AS_NOT_WRITTEN: "refused_is_not_published",
+    publish_state.Mutant.REFUSE_WITHOUT_RECORD: "refused_is_not_published",
+    publish_state.Mutant.CLOSE_WITHOUT_CHECK: "refused_is_not_published",
+    publish_state.Mutant.ADOPT_LOWER: "in_force_never_falls",
 }
 
 
--- /dev/null
+++ b/tests/test_ledger.py
@@ -0,0 +1,148 @@
+"""A ledger under load and in an outage: shared transactions, bounds, refusals, recovery."""
+
+from unittest.mock import patch
+
+from claim_hosts import ANSWER, SETTLE_S, Hosts, run_test, settle
+from curio import Event, sleep, spawn
+from table_double import Fault
+
+from pollenbay.batch import BATCH_ROWS, QUEUE_LIMIT_ROWS, WRITERS
+from pollenbay.claim import (
+    Claim,
+    ReleasedRow,
+)
+from pollenbay.commands.claim import (
+    PROBE_PERIOD_S,
+    record_answer,
+    take_claim,
+)
+from pollenbay.commands.record import KEEP_S
+from pollenbay.outcome import NotRun, Unknown
+from pollenbay.states import Reason
+
+
+class TestOutage:
+    def test_down_table_refuses_at_once_and_recovers(self) -> None:
+        async def test(hosts: Hosts) -> None:
+            ledger = await hosts.start("b1")
+            hosts.table.down = True
+            for key in ("k1", "k2", "k3"):
+                outcome = await take_claim(ledger, hosts.request(key))
+                assert isinstance(outcome, NotRun)
+                assert outcome.reason is Reason.CLAIM_UNAVAILABLE
+                assert outcome.retry_after_s > 0
+            assert len(hosts.table.sizes) == 1
+            hosts.table.down = False
+            hosts.timer.time_s += PROBE_PERIOD_S
+            assert isinstance(await take_claim(ledger, hosts.request()), Claim)
+
+        run_test(test)
+
+    def test_silent_table_refuses_in_time_and_releases(self) -> None:
+        async def test(hosts: Hosts) -> None:
+            ledger = await hosts.start("b1")
+            hosts.table.gate = Event()
+            with patch("pollenbay.commands.claim.CLAIM_TIMEOUT_S", 0.02):
+                outcome = await take_claim(ledger, hosts.request())
+            assert isinstance(outcome, NotRun)
+            await hosts.table.gate.set()
+            await settle(ledger)
+            assert isinstance(hosts.row(), ReleasedRow)
+
+        run_test(test)
+
+    def test_answer_is_kept_through_an_outage(self) -> None:
+        async def test(hosts: Hosts) -> None:
+            first, other = await hosts.start("b1"), await hosts.start("b2")
+            claim = await take_claim(first, hosts.request())
+            hosts.table.down = True
+            await record_answer(first, claim, ANSWER)
+            await sleep(0.05)
+            assert first.records == 1
+            hosts.table.down = False
+            await settle(first)
+            assert await take_claim(other, hosts.request()) == ANSWER
+
+        run_test(test)
+
+    def test_answer_is_given_up_after_a_bound_and_counted(self) -> None:
+        async def test(hosts: Hosts) -> None:
+            ledger = await hosts.start("b1")
+            claim = await take_claim(ledger, hosts.request())
+            hosts.table.down = True
+            await record_answer(ledger, claim, ANSWER)
+            await sleep(0.02)
+            hosts.timer.time_s += KEEP_S
+            await settle(ledger)
+            assert (ledger.counts.recorded, ledger.counts.lost) == (0, 1)
+
+        run_test(test)
+
+    def test_records_are_bounded(self) -> None:
+        async def test(hosts: Hosts) -> None:
+            ledger = await hosts.start("b1")
+            claim = await take_claim(ledger, hosts.request())
+            with patch("pollenbay.commands.record.RECORD_LIMIT", 0):
+                await record_answer(ledger, claim, ANSWER)
+            assert (ledger.records, ledger.counts.lost) == (0, 1)
+
+        run_test(test)
+
+
+class TestBatches:
+    def test_concurrent_claims_share_transactions(self) -> None:
+        async def test(hosts: Hosts) -> None:
+            ledger = await hosts.start("b1")
+            hosts.table.gate = Event()
+            tasks = [await spawn(take_claim, ledger, hosts.request(f"k{n}")) for n in range(100)]
+            await sleep(0.01)
+            await hosts.table.gate.set()
+            outcomes = [await task.join() for task in tasks]
+            assert all(isinstance(outcome, Claim) for outcome in outcomes)
+            assert len(hosts.table.sizes) <= 6
+            assert max(hosts.table.sizes) <= BATCH_ROWS
+
+        run_test(test)
+
+    def test_conflict_of_one_does_not_fail_the_others(self) -> None:
+        async def test(hosts: Hosts) -> None:
+            first, other = await hosts.start("b1"), await hosts.start("b2")
+            assert isinstance(await take_claim(first, hosts.request("k5")), Claim)
+            hosts.table.gate = Event()
+            tasks = [await spawn(take_claim, other, hosts.request(f"k{n}")) for n in range(20)]
+            await sleep(0.01)
+            await hosts.table.gate.set()
+            outcomes = [await task.join() for task in tasks]
+            assert outcomes.pop(5) == Unknown(Reason.DUPLICATE)
+            assert all(isinstance(outcome, Claim) for outcome in outcomes)
+            assert hosts.table.reads == 1
+
+        run_test(test)
+
+    def test_lost_answer_of_a_batch_grants_all_by_reading_back(self) -> None:
+        async def test(hosts: Hosts) -> None:
+            ledger = await hosts.start("b1")
+            hosts.table.gate = Event()
+            tasks = [await spawn(take_claim, ledger, hosts.request(f"k{n}")) for n in range(9)]
+            await sleep(0.01)
+            hosts.table.faults.extend([Fault.ANSWER_LOST] * 3)
+            await hosts.table.gate.set()
+            outcomes = [await task.join() for task in tasks]
+            assert all(isinstance(outcome, Claim) for outcome in outcomes)
+
+        run_test(test)
+
+    def test_full_queue_refuses(self) -> None:
+        async def test(hosts: Hosts) -> None:
+            ledger = await hosts.start("b1")
+            hosts.table.gate = Event()
+            for n in range(QUEUE_LIMIT_ROWS + WRITERS * BATCH_ROWS):
+                await spawn(take_claim, ledger, hosts.request(f"k{n}"), daemon=True)
+            while ledger.batcher.queued < QUEUE_LIMIT_ROWS:
+                await sleep(0.01)
+            with patch("pollenbay.commands.claim.CLAIM_TIMEOUT_S", 10 * SETTLE_S):
+                outcome = await take_claim(ledger, hosts.request("one more"))
+            assert isinstance(outcome, NotRun)
+            assert ledger.batcher.queued == QUEUE_LIMIT_ROWS
+
+        run_test(test)
--- a/tests/test_spec.py
+++ b/tests/test_spec.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from spec.claiming import Mutant as ClaimMutant
-from spec.publishing import Mutant as PublishMutant
+from spec.claim_state import Mutant as ClaimMutant
+from spec.publish_state import Mutant as PublishMutant
 from spec.runs import (
     CLAIM_MUTANTS,
     MUTANT_MAX_STATES,
