--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -191,7 +191,15 @@
         async def test(hosts: Hosts) -> None:
             first, other = await hosts.start("b1"), await hosts.start("b2")
             claim = await take_claim(first, hosts.request())
-            await release_claim(first, claim)
+            hosts.table.gate = gate = Event()
+            with patch("pollenbay.commands.claim.RELEASE_WAIT_S", SETTLE_S):
+                task = await spawn(release_claim, first, claim)
+                await sleep(0.01)
+                assert not task.terminated
+                hosts.table.gate = None
+                await gate.set()
+                await task.join()
+            assert isinstance(hosts.row(), ReleasedRow)
             assert isinstance(await take_claim(other, hosts.request()), Claim)
             assert hosts.table.reads == 1
 
