Judge a target by the time it spends itself, and begin near its announced slots

The limit began at a quarter of the slots, rose by single steps of long trials, and took time that the target waited for its own calls for crowding in the target. Change: the node sees the calls that the target makes, so their time is taken off before the limit learns; a cold target begins with half of its slots, and the limit regains slots in steps of up to 2 below the announced number.

--- a/src/pollenbay/call.py
+++ b/src/pollenbay/call.py
@@ -1,6 +1,6 @@
 """One call as the decisions see it, free of HTTP and of the link between nodes."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 
 from pollenbay.ids import (
@@ -73,8 +73,9 @@
 
     :param cancellable: whether the call may be given up when its caller leaves.
     :param sent: whether the target may have seen a byte of it.
+    :param own_s: seconds that the target itself took, without waiting for calls of its own.
     """
 
     cancellable: bool = True
     sent: bool = False
-    started_at: float = field(default=0.0)
+    own_s: float = 0.0
--- a/src/pollenbay/commands/admission.py
+++ b/src/pollenbay/commands/admission.py
@@ -35,17 +35,26 @@
     return _queue(gate, waiter, now)
 
 
-def release(gate: Gate, ticket: Ticket, latency_s: float, ok: bool, now: float) -> list[Waiter]:
+def release(
+    gate: Gate,
+    ticket: Ticket,
+    latency_s: float,
+    ok: bool,
+    now: float,
+    own_s: float | None = None,
+) -> list[Waiter]:
     """Take a ticket back and return the waiters that were settled by it.
 
     :param latency_s: seconds from the sending of the call to the end of its answer.
     :param ok: whether the target answered; a call cut short or failed is not ok.
+    :param own_s: seconds of it that the target spent itself, without waiting for calls of its
+        own, which say nothing of how many calls it can run; all of it if not known.
     """
     if ticket.released:
         return []
     arrival = ticket.arrival
     rank = arrival.call_class.rank
-    gate.limit.observe(rank, latency_s, ok, ticket.admitted_at, gate.in_flight, now)
+    gate.limit.observe(rank, latency_s, ok, ticket.admitted_at, gate.in_flight, now, own_s)
     _give_up_slot(gate, ticket)
     return _grant(gate, now)
 
--- a/src/pollenbay/commands/entry.py
+++ b/src/pollenbay/commands/entry.py
@@ -47,7 +47,11 @@
         return NotRun(Reason.BAD_CONTEXT)
     call = _make_call(node, asked, rule, context.caller)
     _join(call, context)
-    return await place(node, call, context.account, Entrance.TARGET, passage)
+    context.begin_call(node.timer.now())
+    try:
+        return await place(node, call, context.account, Entrance.TARGET, passage)
+    finally:
+        context.end_call(node.timer.now())
 
 
 def _make_call(node: Node, asked: Asked, rule: CallRule, caller: CallerId) -> Call:
--- a/src/pollenbay/commands/serving.py
+++ b/src/pollenbay/commands/serving.py
@@ -98,7 +98,8 @@
     finally:
         now = node.timer.now()
         node.metrics.note_target(call.call_class, now - started_at)
-        await wake(release(node.gate, ticket, now - started_at, sound, now))
+        latency_s = now - started_at
+        await wake(release(node.gate, ticket, latency_s, sound, now, passage.own_s))
 
 
 def _is_sound(outcome: Outcome) -> bool:
@@ -155,12 +156,16 @@
     except TargetConnectError as error:
         return _refuse(node, call, NotRun(error.reason, RETRY_AFTER_S, allowance))
     account = make_account(allowance, call.deadline)
-    key = node.contexts.open(
-        Context(call.request, call.call_class, call.caller, account, call.deadline, call.depth)
+    context = Context(
+        call.request, call.call_class, call.caller, account, call.deadline, call.depth
     )
+    key = node.contexts.open(context)
+    sent_at = node.timer.now()
     try:
         return await _exchange(node, call, rule, account, passage, client, key)
     finally:
+        now = node.timer.now()
+        passage.own_s = now - sent_at - context.away_until(now)
         node.contexts.close(key)
 
 
--- a/src/pollenbay/contexts.py
+++ b/src/pollenbay/contexts.py
@@ -13,6 +13,9 @@
 
     :param account: retries that they share.
     :param deadline: monotonic seconds by which the call above them must be answered.
+    :param open_calls: calls of the target under way.
+    :param away_since: monotonic seconds since when there has been one.
+    :param away_s: seconds for which there was one, without the present time.
     """
 
     request: RequestId
@@ -21,6 +24,25 @@
     account: Account
     deadline: float
     depth: int
+    open_calls: int = 0
+    away_since: float = 0.0
+    away_s: float = 0.0
+
+    def begin_call(self, now: float) -> None:
+        """Note that the target waits for one more call of its own."""
+        if not self.open_calls:
+            self.away_since = now
+        self.open_calls += 1
+
+    def end_call(self, now: float) -> None:
+        """Note that one of these calls has ended."""
+        self.open_calls -= 1
+        if not self.open_calls:
+            self.away_s += now - self.away_since
+
+    def away_until(self, now: float) -> float:
+        """Return the seconds that the target has spent waiting for calls of its own."""
+        return self.away_s + (now - self.away_since if self.open_calls else 0.0)
 
 
 class Contexts:
--- a/src/pollenbay/limit.py
+++ b/src/pollenbay/limit.py
@@ -15,9 +15,11 @@
 MIN_LIMIT = 1.0
 #: The limit never grows past this multiple of the announced slots.
 CEILING_PER_SLOT = 4.0
-COLD_START_PART = 0.25
+COLD_START_PART = 0.5
 LESS_FACTOR = 0.8
 MORE_FACTOR = 1.2
+#: Below the announced slots the limit is raised in larger steps.
+REGAIN_FACTOR = 2.0
 HALF_FACTOR = 0.5
 #: Relative change of latency by relative change of the limit: 0 with room, 1 when calls queue.
 KNEE_ELASTICITY = 0.5
@@ -139,11 +141,19 @@
         self._open_window(Phase.HOLD, now)
 
     def observe(
-        self, rank: int, latency_s: float, ok: bool, admitted_at: float, in_flight: int, now: float
+        self,
+        rank: int,
+        latency_s: float,
+        ok: bool,
+        admitted_at: float,
+        in_flight: int,
+        now: float,
+        own_s: float | None = None,
     ) -> None:
         """Take in the end of one call.
 
         :param in_flight: calls that were running, with this one.
+        :param own_s: seconds that the target did not spend waiting for calls of its own.
         """
         window = self._window
         if in_flight > window.peak:
@@ -154,7 +164,7 @@
         self._smooth(rank, latency_s, now)
         if admitted_at < window.started_at:
             return
-        window.sums_s[rank] += latency_s
+        window.sums_s[rank] += latency_s if own_s is None else own_s
         window.counts[rank] += 1
         window.samples += 1
         if self._is_complete(now) or self._is_surge():
@@ -237,7 +247,10 @@
         elif self._next_phase is Phase.LESS:
             self._try(Phase.LESS, LESS_FACTOR, mean_s, now)
         else:
-            self._try(Phase.MORE, MORE_FACTOR, mean_s, now)
+            self._try(Phase.MORE, self._more_factor(), mean_s, now)
+
+    def _more_factor(self) -> float:
+        return min(max(self._slots / self._value, MORE_FACTOR), REGAIN_FACTOR)
 
     def _try(self, phase: Phase, factor: float, mean_s: float, now: float) -> None:
         self._held = self._value
