Begin small targets with all of their slots, and let a dozen calls wait at least

Cause: polled each second, stock (2 slots) stood at a limit of 1 for the first four seconds and its queue of 4 was full in bursts at 54% of capacity, so calls were refused deep in the chain. Change: a cold target with at most 4 slots begins with all of them; the queue holds 12 or more.

--- a/src/pollenbay/gate.py
+++ b/src/pollenbay/gate.py
@@ -13,7 +13,7 @@
 
 #: Places in the queue for each call that may run at once.
 QUEUE_PER_LIMIT = 1.0
-QUEUE_MIN = 4
+QUEUE_MIN = 12
 QUEUE_MAX = 256
 
 
--- a/src/pollenbay/limit.py
+++ b/src/pollenbay/limit.py
@@ -16,6 +16,8 @@
 #: The limit never grows past this multiple of the announced slots.
 CEILING_PER_SLOT = 4.0
 COLD_START_PART = 0.5
+#: A target with no more slots than this begins with all of them.
+COLD_START_SLOTS_MIN = 4
 LESS_FACTOR = 0.8
 MORE_FACTOR = 1.2
 #: Below the announced slots the limit is raised in larger steps.
@@ -132,7 +134,8 @@
 
     def start_cold(self, now: float) -> None:
         """Forget what was measured and begin with a part of the slots."""
-        self._held = self._value = self._bounded(self._slots * COLD_START_PART)
+        least = min(self._slots, COLD_START_SLOTS_MIN)
+        self._held = self._value = max(self._slots * COLD_START_PART, least)
         self._references_s = [0.0] * len(CallClass)
         self._means_s = [0.0] * len(CallClass)
         self._next_phase = Phase.MORE
