Let queued calls of a caller that has come to hold too much fall behind

Cause: with 12 places in the queue a script that was alone when it filled them was served before callers that came later (test_a_flooding_caller_does_not_hold_the_others_out went red). Change: the share is judged again when a slot is granted, and such a call moves to the level of callers over their share, once. Conclusion: the test is green again, unchanged.

--- a/src/pollenbay/commands/admission.py
+++ b/src/pollenbay/commands/admission.py
@@ -147,6 +147,10 @@
         if waiter is None:
             gate.shedding.note_spare()
             break
+        if _falls_behind(gate, waiter):
+            waiter.level += 1
+            gate.line.add(waiter, now)
+            continue
         if can_meet_deadline(gate, waiter.arrival, now):
             waiter.decision = _ticket(gate, waiter.arrival, now)
         else:
@@ -155,6 +159,14 @@
     return settled
 
 
+def _falls_behind(gate: Gate, waiter: Waiter) -> bool:
+    """Tell whether others have come since a waiter was queued, so that its caller has too much."""
+    rank = waiter.arrival.call_class.rank
+    if waiter.level != level_of(rank, over_share=False):
+        return False
+    return gate.shares.over_share(rank, waiter.arrival.caller, gate.limit.value)
+
+
 def _refuse(gate: Gate, waiter: Waiter, reason: Reason) -> None:
     gate.shares.remove(waiter.arrival.call_class.rank, waiter.arrival.caller)
     waiter.decision = _refusal(gate, waiter.arrival, reason)
