--- a/tests/membership_double.py
+++ b/tests/membership_double.py
@@ -4,6 +4,7 @@
 
 from curio import Task, spawn
 from result import Err, Ok, Result
+from table_double import TableDouble
 
 from pollenbay.commands.adoption import adopt
 from pollenbay.commands.gossiping import run_membership
@@ -19,7 +20,6 @@
 from pollenbay.table import Row, TableError, TableUnavailableError
 from pollenbay.timer import make_timer
 from pollenbay.view import Member, View, make_view
-from table_double import TableDouble
 
 ADDRESS = "127.0.0.1"
 SERVICE = ServiceName("stock")
--- a/tests/test_gossiping.py
+++ b/tests/test_gossiping.py
@@ -4,8 +4,9 @@
 from time import monotonic
 
 from curio import run, sleep
-
 from membership_double import Group, SharedTable, seed_of, state_in
+from test_delta import rules_of
+
 from pollenbay.commands.gossiping import announce_leaving, announce_serving, report_load
 from pollenbay.commands.pulling import adopt_rules
 from pollenbay.ids import RowKey, RuleVersion
@@ -15,7 +16,6 @@
 from pollenbay.states import MemberState
 from pollenbay.table import Write
 from pollenbay.view import Load
-from test_delta import rules_of
 
 #: Bounds that the project states: death and rules within 5 s, leaving within 2 s.
 DEAD_WITHIN_S = 5.0
--- a/tests/test_heartbeat.py
+++ b/tests/test_heartbeat.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from membership_double import clock_at, member_for, record_for, view_of
+
 from pollenbay.commands.heartbeat import (
     absorb_heartbeat,
     absorb_question,
--- a/tests/test_membership_processes.py
+++ b/tests/test_membership_processes.py
@@ -8,7 +8,6 @@
 from time import monotonic, sleep
 
 import pytest
-
 from harness import Process, Processes, control, wait_until
 
 DEAD_WITHIN_S = 5.0
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -5,8 +5,8 @@
 
 import pytest
 from curio import TaskGroup, run, sleep, spawn, timeout_after
-
 from membership_double import ADDRESS, record_for
+
 from pollenbay.ids import InstanceId
 from pollenbay.news import (
     PageAnswer,
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -4,8 +4,8 @@
 from dataclasses import replace
 
 import pytest
-
 from membership_double import member_for, view_of
+
 from pollenbay.ids import InstanceId
 from pollenbay.queries.peers import RINGS, ZONE_RINGS, choose_peers
 from pollenbay.states import MemberState
--- a/tests/test_rendezvous.py
+++ b/tests/test_rendezvous.py
@@ -2,8 +2,8 @@
 
 import pytest
 from curio import run
-
 from membership_double import SharedTable, record_for
+
 from pollenbay.ids import RowKey, RuleVersion
 from pollenbay.rendezvous import (
     ABANDONED_PERIODS,
