Never give an unasked answer of a target to the next caller

Cause: a kept connection to a target was reused with bytes on it that nobody had asked for, a second answer to the request before. They were taken for the answer to the next request, so that a caller got another caller's answer. Change: a kept HTTP connection on which anything has arrived since its last exchange, or with bytes past the end of the last response, is closed and not used again. Left: a second answer that arrives while the next exchange is under way cannot be told from its answer in HTTP/1.1.

--- a/src/pollenbay/http1.py
+++ b/src/pollenbay/http1.py
@@ -7,7 +7,7 @@
 from msgspec import Struct
 
 from pollenbay.outcome import Headers
-from pollenbay.stream import StreamConnectError, open_stream, peer_has_closed
+from pollenbay.stream import StreamConnectError, open_stream, peer_has_spoken
 
 RECEIVE_BYTES = 65536
 HEADER_LIMIT_BYTES = 16384
@@ -208,13 +208,17 @@
 
     @property
     def reusable(self) -> bool:
-        """Tell whether another exchange can follow on this connection."""
-        return self._conn.our_state is h11.IDLE and self._conn.their_state is h11.IDLE
+        """Tell whether another exchange can follow on this connection.
+
+        Bytes past the end of a response would be taken for the response to the next request.
+        """
+        idle = self._conn.our_state is h11.IDLE and self._conn.their_state is h11.IDLE
+        return idle and not self._conn.trailing_data[0]
 
     @property
     def stale(self) -> bool:
-        """Tell whether the server has closed the connection meanwhile."""
-        return peer_has_closed(self._sock)
+        """Tell whether the server has closed the connection meanwhile, or sent an unasked answer."""
+        return peer_has_spoken(self._sock)
 
     async def exchange(self, request: HttpRequest) -> HttpResponse:
         """Send a request and return the whole response.
--- a/src/pollenbay/stream.py
+++ b/src/pollenbay/stream.py
@@ -1,7 +1,7 @@
 """TCP streams by IP number: opening without name look-up, listening, and signs of a closed peer."""
 
 from collections.abc import Awaitable, Callable
-from select import POLLERR, POLLHUP, POLLRDHUP, poll
+from select import POLLERR, POLLHUP, POLLIN, POLLRDHUP, poll
 
 from curio import TaskGroup, TaskTimeout, timeout_after
 from curio.io import Socket
@@ -81,6 +81,15 @@
 
 def peer_has_closed(sock: Socket) -> bool:
     """Tell, without waiting or reading, whether the other end has closed the connection."""
+    return _has_event(sock, CLOSED_EVENTS)
+
+
+def peer_has_spoken(sock: Socket) -> bool:
+    """Tell, without waiting or reading, whether the other end has sent bytes or closed."""
+    return _has_event(sock, CLOSED_EVENTS | POLLIN)
+
+
+def _has_event(sock: Socket, events: int) -> bool:
     poller = poll()
-    poller.register(sock.fileno(), CLOSED_EVENTS)
+    poller.register(sock.fileno(), events)
     return bool(poller.poll(0))
--- a/tests/cluster.py
+++ b/tests/cluster.py
@@ -24,7 +24,7 @@
     name: str
     service: str
     node: Process
-    target: Process
+    target: Process | None
     link_proxy: Process | None = None
     gossip_proxy: Process | None = None
 
@@ -57,7 +57,7 @@
     @property
     def targets(self) -> list[Process]:
         """Return the targets of all instances."""
-        return [instance.target for instance in self.instances.values()]
+        return [each.target for each in self.instances.values() if each.target is not None]
 
     def publish(self, *services: ServiceRule, author: str = "test") -> Accepted:
         """Publish rules past the nodes, straight to the platform's table."""
@@ -101,6 +101,13 @@
         self.instances[name] = instance
         return instance
 
+    def add_node(self, name: str, service: str, zone: str = "z1") -> Instance:
+        """Start a node whose target the test itself plays."""
+        self.instances[name] = Instance(
+            name, service, self.start_node(name, service, zone, {}), None
+        )
+        return self.instances[name]
+
     def _start_proxies(self, settings: dict[str, Any]) -> tuple[Process, Process]:
         ports = {"link": free_port(), "gossip": free_port()}
         link, gossip = (self.processes.start_proxy(port) for port in ports.values())
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -12,6 +12,7 @@
 from harness import Answer, Process, run_log, send
 
 BODY_BYTES = 300
+REPEAT_MARK = "-repeat"
 
 
 @dataclass(frozen=True, slots=True)
@@ -19,6 +20,7 @@
     """One request and what its caller was told.
 
     :param answer: None if the connection to the node broke.
+    :param key: its idempotency key, the marker of the first request with that key.
     """
 
     marker: str
@@ -26,6 +28,7 @@
     answer: Answer | None
     began_at: float
     ended_at: float
+    key: str | None = None
 
     @property
     def outcome(self) -> str:
@@ -41,10 +44,21 @@
 
     @property
     def whole(self) -> bool:
-        """Tell whether the answer is the one to this request, and all of it."""
-        line = f"{self.marker}\n".encode("ascii")
-        expected = (line * (BODY_BYTES // len(line) + 1))[:BODY_BYTES]
-        return self.answer is not None and self.answer.body == expected
+        """Tell whether the answer is the one to this request, and all of it.
+
+        The answer to a repeat may be that to an earlier request with its key.
+        """
+        if self.answer is None:
+            return False
+        marker = self.answer.body.partition(b"\n")[0].decode("latin-1")
+        own = marker == self.marker or self.key in (marker, marker.rpartition(REPEAT_MARK)[0])
+        return own and self.answer.body == body_of(marker)
+
+
+def body_of(marker: str) -> bytes:
+    """Return the whole body of the answer to a request."""
+    line = f"{marker}\n".encode("ascii")
+    return (line * (BODY_BYTES // len(line) + 1))[:BODY_BYTES]
 
 
 def ask(port: int, marker: str, path: str, method: str, caller: str, key: str | None) -> Told:
@@ -57,7 +71,7 @@
         answer = send(port, path, method, headers=headers)
     except (OSError, HTTPException):
         answer = None
-    return Told(marker, path, answer, began_at, monotonic())
+    return Told(marker, path, answer, began_at, monotonic(), key)
 
 
 @dataclass(slots=True)
@@ -67,6 +81,7 @@
     :param ports: where they ask, in turn.
     :param callers: how many callers there are for each path.
     :param key: whether each request has an idempotency key, its marker.
+    :param repeats: how often a request that is not answered is repeated with its key.
     :param pause_s: seconds between two requests of a caller.
     """
 
@@ -75,6 +90,7 @@
     callers: int = 4
     method: str = "GET"
     key: bool = False
+    repeats: int = 0
     pause_s: float = 0.0
     name: str = "crowd"
 
@@ -96,12 +112,21 @@
         told: list[Told] = []
         while not stop.is_set():
             marker = f"{self.name}-{path.strip('/').replace('/', '.')}-{number}-{len(told)}"
-            port = self.ports[(number + len(told)) % len(self.ports)]
-            key = marker if self.key else None
-            told.append(ask(port, marker, path, self.method, f"caller-{number}", key))
+            told += self._ask(path, number, marker, len(told))
             stop.wait(self.pause_s)
         return told
 
+    def _ask(self, path: str, number: int, marker: str, turn: int) -> list[Told]:
+        told: list[Told] = []
+        key = marker if self.key else None
+        for attempt in range(1 + self.repeats):
+            port = self.ports[(number + turn + attempt) % len(self.ports)]
+            own = f"{marker}{REPEAT_MARK}{attempt}" if attempt else marker
+            told.append(ask(port, own, path, self.method, f"caller-{number}", key))
+            if told[-1].answered:
+                break
+        return told
+
 
 def markers_run(targets: Iterable[Process]) -> dict[str, int]:
     """Return how often each marker ran, over all targets."""
@@ -110,3 +135,8 @@
         for run in run_log(target)["runs"]:
             counted[run["marker"]] = counted.get(run["marker"], 0) + 1
     return counted
+
+
+def told_not_run(told: Iterable[Told]) -> list[str]:
+    """Return the markers of requests that were refused as not run."""
+    return [each.marker for each in told if each.outcome == "not-run"]
