--- a/src/pollenbay/commands/admission.py
+++ b/src/pollenbay/commands/admission.py
@@ -35,17 +35,26 @@
     return _queue(gate, waiter, now)
 
 
-def release(gate: Gate, ticket: Ticket, latency_s: float, ok: bool, now: float) -> list[Waiter]:
+def release(
+    gate: Gate,
+    ticket: Ticket,
+    latency_s: float,
+    ok: bool,
+    now: float,
+    own_s: float | None = None,
+) -> list[Waiter]:
     """Take a ticket back and return the waiters that were settled by it.
 
     :param latency_s: seconds from the sending of the call to the end of its answer.
     :param ok: whether the target answered; a call cut short or failed is not ok.
+    :param own_s: seconds of it that the target spent itself, without waiting for calls of its
+        own, which say nothing of how many calls it can run; all of it if not known.
     """
     if ticket.released:
         return []
     arrival = ticket.arrival
     rank = arrival.call_class.rank
-    gate.limit.observe(rank, latency_s, ok, ticket.admitted_at, gate.in_flight, now)
+    gate.limit.observe(rank, latency_s, ok, ticket.admitted_at, gate.in_flight, now, own_s)
     _give_up_slot(gate, ticket)
     return _grant(gate, now)
 
@@ -138,6 +147,10 @@
         if waiter is None:
             gate.shedding.note_spare()
             break
+        if _falls_behind(gate, waiter):
+            waiter.level += 1
+            gate.line.add(waiter, now)
+            continue
         if can_meet_deadline(gate, waiter.arrival, now):
             waiter.decision = _ticket(gate, waiter.arrival, now)
         else:
@@ -146,6 +159,14 @@
     return settled
 
 
+def _falls_behind(gate: Gate, waiter: Waiter) -> bool:
+    """Tell whether others have come since a waiter was queued, so that its caller has too much."""
+    rank = waiter.arrival.call_class.rank
+    if waiter.level != level_of(rank, over_share=False):
+        return False
+    return gate.shares.over_share(rank, waiter.arrival.caller, gate.limit.value)
+
+
 def _refuse(gate: Gate, waiter: Waiter, reason: Reason) -> None:
     gate.shares.remove(waiter.arrival.call_class.rank, waiter.arrival.caller)
     waiter.decision = _refusal(gate, waiter.arrival, reason)
--- a/src/pollenbay/limit.py
+++ b/src/pollenbay/limit.py
@@ -15,9 +15,13 @@
 MIN_LIMIT = 1.0
 #: The limit never grows past this multiple of the announced slots.
 CEILING_PER_SLOT = 4.0
-COLD_START_PART = 0.25
+COLD_START_PART = 0.5
+#: A target with no more slots than this begins with all of them.
+COLD_START_SLOTS_MIN = 4
 LESS_FACTOR = 0.8
 MORE_FACTOR = 1.2
+#: Below the announced slots the limit is raised in larger steps.
+REGAIN_FACTOR = 2.0
 HALF_FACTOR = 0.5
 #: Relative change of latency by relative change of the limit: 0 with room, 1 when calls queue.
 KNEE_ELASTICITY = 0.5
@@ -130,7 +134,8 @@
 
     def start_cold(self, now: float) -> None:
         """Forget what was measured and begin with a part of the slots."""
-        self._held = self._value = self._bounded(self._slots * COLD_START_PART)
+        least = min(self._slots, COLD_START_SLOTS_MIN)
+        self._held = self._value = max(self._slots * COLD_START_PART, least)
         self._references_s = [0.0] * len(CallClass)
         self._means_s = [0.0] * len(CallClass)
         self._next_phase = Phase.MORE
@@ -139,11 +144,19 @@
         self._open_window(Phase.HOLD, now)
 
     def observe(
-        self, rank: int, latency_s: float, ok: bool, admitted_at: float, in_flight: int, now: float
+        self,
+        rank: int,
+        latency_s: float,
+        ok: bool,
+        admitted_at: float,
+        in_flight: int,
+        now: float,
+        own_s: float | None = None,
     ) -> None:
         """Take in the end of one call.
 
         :param in_flight: calls that were running, with this one.
+        :param own_s: seconds that the target did not spend waiting for calls of its own.
         """
         window = self._window
         if in_flight > window.peak:
@@ -154,7 +167,7 @@
         self._smooth(rank, latency_s, now)
         if admitted_at < window.started_at:
             return
-        window.sums_s[rank] += latency_s
+        window.sums_s[rank] += latency_s if own_s is None else own_s
         window.counts[rank] += 1
         window.samples += 1
         if self._is_complete(now) or self._is_surge():
@@ -237,7 +250,10 @@
         elif self._next_phase is Phase.LESS:
             self._try(Phase.LESS, LESS_FACTOR, mean_s, now)
         else:
-            self._try(Phase.MORE, MORE_FACTOR, mean_s, now)
+            self._try(Phase.MORE, self._more_factor(), mean_s, now)
+
+    def _more_factor(self) -> float:
+        return min(max(self._slots / self._value, MORE_FACTOR), REGAIN_FACTOR)
 
     def _try(self, phase: Phase, factor: float, mean_s: float, now: float) -> None:
         self._held = self._value
@@ -272,7 +288,7 @@
             return False
         if phase is Phase.LESS:
             return elasticity > KNEE_ELASTICITY
-        return elasticity < KNEE_ELASTICITY and not self._has_failed()
+        return elasticity < KNEE_ELASTICITY
 
     def _keep(self, value: float) -> None:
         self._held = self._value = value
