A lost answer that could be read back no longer counts as an outage of the table

Change: a read that succeeds ends the failing state; a repeat is told the same unknown for 0.1 s only.

--- a/src/pollenbay/commands/claim.py
+++ b/src/pollenbay/commands/claim.py
@@ -44,7 +44,7 @@
 #: So long a release is waited for, so that a retry at another host finds the key free.
 RELEASE_WAIT_S = 0.25
 #: So long a repeat of an unsettled call is told the same without another look.
-BRIEF_S = 0.5
+BRIEF_S = 0.1
 
 
 @dataclass(slots=True)
@@ -171,6 +171,7 @@
         if isinstance(result, Err):
             _note_failure(ledger)
             return _unavailable()
+        ledger.health.failing = False
         verdict = _judge(ledger, attempt, result.unwrap())
         if isinstance(verdict, Mine):
             return _claim_of(attempt, verdict.version)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -38,6 +38,15 @@
 
         run_test(test)
 
+    def test_lost_answer_that_could_be_read_back_refuses_nobody(self) -> None:
+        async def test(hosts: Hosts) -> None:
+            ledger = await hosts.start("b1")
+            hosts.table.faults.append(Fault.ANSWER_LOST)
+            assert isinstance(await take_claim(ledger, hosts.request("k1")), Claim)
+            assert isinstance(await take_claim(ledger, hosts.request("k2")), Claim)
+
+        run_test(test)
+
     def test_silent_table_refuses_in_time_and_releases(self) -> None:
         async def test(hosts: Hosts) -> None:
             ledger = await hosts.start("b1")
