--- a/src/pollenbay/batch.py
+++ b/src/pollenbay/batch.py
@@ -166,11 +166,12 @@
         return False
 
     async def run(self) -> None:
-        """Write until cancelled."""
-        async with TaskGroup() as group:
+        """Write until cancelled; a task that fails ends the others and its error is raised."""
+        async with TaskGroup(wait=any) as group:
             for _ in range(WRITERS):
                 await group.spawn(self._write_each)
             await group.spawn(self._promote_each)
+        return group.result
 
     async def _write_each(self) -> None:
         while True:
--- a/src/pollenbay/daemon.py
+++ b/src/pollenbay/daemon.py
@@ -20,6 +20,7 @@
 from pollenbay.commands.adoption import adopt
 from pollenbay.commands.gossiping import run_membership
 from pollenbay.commands.life import drain
+from pollenbay.commands.sweep import run_sweeper
 from pollenbay.commands.upkeep import keep_up
 from pollenbay.linking import serve_link
 from pollenbay.logs import start_logs
@@ -109,6 +110,7 @@
         node.timer.run(),
         node.watch.run(node.timer),
         node.ledger.run(),
+        run_sweeper(node.ledger),
         run_membership(node.membership),
         keep_up(node),
         accept_streams(listeners.callers, partial(callers.serve, node)),
--- a/src/pollenbay/ledger.py
+++ b/src/pollenbay/ledger.py
@@ -88,12 +88,16 @@
     group: TaskGroup = field(default_factory=TaskGroup)
 
     async def run(self) -> None:
-        """Write changes and keep records until cancelled."""
+        """Write changes and keep records until cancelled; raises if changes cannot be written."""
         async with self.group as group:
-            await group.spawn(self.batcher.run)
-            await group.spawn(self._purge_each)
+            lasting = {
+                await group.spawn(self.batcher.run),
+                await group.spawn(self._purge_each),
+            }
             async for task in group:
                 task.joined = True
+                if task in lasting:
+                    return task.result
 
     async def spawn(self, work: Callable[..., Awaitable[None]], *args: object) -> Task:
         """Run a task that outlives the one that starts it."""
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -17,6 +17,8 @@
     take_claim,
 )
 from pollenbay.commands.record import KEEP_S
+from pollenbay.ids import Incarnation, InstanceId
+from pollenbay.ledger import make_ledger
 from pollenbay.outcome import NotRun, Unknown
 from pollenbay.states import Reason
 
@@ -98,6 +100,23 @@
         run_test(test)
 
 
+class TestFailure:
+    def test_a_writer_that_fails_ends_the_ledger_with_its_error(self) -> None:
+        async def test(hosts: Hosts) -> None:
+            timer, table = hosts.timer, hosts.table
+            ledger = make_ledger(
+                table, InstanceId("b1"), Incarnation(1), timer
+            )  # type: ignore[arg-type]
+            ledger.clock = timer.now
+            running = await spawn(ledger.run)
+            with patch.object(table, "transact", side_effect=ZeroDivisionError):
+                await spawn(take_claim, ledger, hosts.request(), daemon=True)
+                await running.wait()
+            assert isinstance(running.exception, ZeroDivisionError)
+
+        run_test(test)
+
+
 class TestBatches:
     def test_concurrent_claims_share_transactions(self) -> None:
         async def test(hosts: Hosts) -> None:
