--- a/src/pollenbay/commands/gossiping.py
+++ b/src/pollenbay/commands/gossiping.py
@@ -13,7 +13,6 @@
 from pollenbay.ids import InstanceId
 from pollenbay.membership import Membership
 from pollenbay.news import Answer, Question
-from pollenbay.peer import SERVING_TASKS
 from pollenbay.queries.membership import record_of
 from pollenbay.rendezvous import withdraw_node
 from pollenbay.states import MemberState
@@ -29,8 +28,7 @@
     """
     try:
         async with TaskGroup(wait=any) as group:
-            for _ in range(SERVING_TASKS):
-                await group.spawn(_serve, membership)
+            await group.spawn(_serve, membership)
             await group.spawn(_watch, membership)
             await group.spawn(run_joining, membership)
             await group.spawn(run_announcements, membership)
--- a/src/pollenbay/commands/joining.py
+++ b/src/pollenbay/commands/joining.py
@@ -3,8 +3,6 @@
 from dataclasses import dataclass
 from logging import getLogger
 
-from curio import check_cancellation
-
 from pollenbay.commands.heartbeat import absorb_heartbeat, absorb_records, compose_heartbeat
 from pollenbay.commands.membership import raise_incarnation
 from pollenbay.commands.peering import push_urgent
@@ -71,7 +69,6 @@
     answered = 0
     for seed in seeds[:SEEDS_PER_ATTEMPT]:
         answered += await _ask_seed(membership, seed)
-        await check_cancellation()
         if answered >= SEEDS_WANTED:
             break
     if answered:
--- a/src/pollenbay/commands/peering.py
+++ b/src/pollenbay/commands/peering.py
@@ -3,7 +3,7 @@
 from functools import singledispatch
 from logging import getLogger
 
-from curio import check_cancellation, sleep
+from curio import sleep
 
 from pollenbay.commands.heartbeat import (
     absorb_bucket,
@@ -127,7 +127,6 @@
     try:
         while is_wanted(membership, instance, incarnation):
             await _beat(membership, instance, link)
-            await check_cancellation()
             await sleep(PUSH_GAP_S)
             await ticks.wait()
         await _take_leave(membership, instance, link)
--- a/src/pollenbay/commands/pulling.py
+++ b/src/pollenbay/commands/pulling.py
@@ -2,8 +2,6 @@
 
 from logging import getLogger
 
-from curio import check_cancellation
-
 from pollenbay.commands.heartbeat import renew_report
 from pollenbay.ids import InstanceId
 from pollenbay.membership import Membership, RuleSource
@@ -36,7 +34,6 @@
         membership.newer_event.clear()
         while membership.newer:
             await _pull_newest(membership)
-            await check_cancellation()
 
 
 async def run_polls(membership: Membership) -> None:
--- a/src/pollenbay/peer.py
+++ b/src/pollenbay/peer.py
@@ -1,16 +1,16 @@
 """Exchanges between nodes over pynng: one question, one answer, all bounded in time.
 
-Under curio, cancelling pynng's own coroutines loses the cancellation or reads a message that is
-not there. Every wait here therefore ends by the socket's own time limit, with cancellation held
-back until then.
+Sockets are used without blocking, and curio waits on the descriptors by which they say that they
+are ready. Under curio, cancelling pynng's own coroutines loses the cancellation, and their time
+limits cost far more processor time.
 """
 
 from collections.abc import Awaitable, Callable
-from contextlib import suppress
 
-from curio import check_cancellation, disable_cancellation
-from pynng import Context, Rep0, Req0
-from pynng.exceptions import NNGException, Timeout
+from curio import TaskTimeout, sleep, timeout_after
+from curio.traps import _read_wait as wait_readable
+from pynng import Rep0, Req0, Socket
+from pynng.exceptions import NNGException, TryAgain
 
 from pollenbay.news import (
     MESSAGE_LIMIT_BYTES,
@@ -25,13 +25,10 @@
     encode_news,
 )
 
-EXCHANGE_TIMEOUT_MS = 800
-#: How long a waiting server holds back its cancellation.
-IDLE_TIMEOUT_MS = 500
+EXCHANGE_TIMEOUT_S = 0.8
 RECONNECT_MIN_MS = 100
 RECONNECT_MAX_MS = 1000
 QUESTION_LIMIT_BYTES = 256 * 1024
-SERVING_TASKS = 4
 
 
 class PeerError(Exception):
@@ -42,10 +39,6 @@
     """The port could not be opened."""
 
 
-class PeerClosedError(PeerError):
-    """The port was closed while it was served."""
-
-
 class PeerSilentError(PeerError):
     """No answer came in time."""
 
@@ -80,8 +73,6 @@
     def __init__(self, address: str, port: int, traffic: PeerTraffic) -> None:
         self._traffic = traffic
         self._sock = Req0(
-            recv_timeout=EXCHANGE_TIMEOUT_MS,
-            send_timeout=EXCHANGE_TIMEOUT_MS,
             reconnect_time_min=RECONNECT_MIN_MS,
             reconnect_time_max=RECONNECT_MAX_MS,
             recv_max_size=MESSAGE_LIMIT_BYTES,
@@ -97,8 +88,8 @@
         data = encode_news(question)
         self._traffic.questions_sent += 1
         try:
-            answer = await self._exchange(data)
-        except NNGException as error:
+            answer = await timeout_after(EXCHANGE_TIMEOUT_S, self._exchange, data)
+        except (NNGException, TaskTimeout) as error:
             self._traffic.exchanges_failed += 1
             raise PeerSilentError(str(error)) from error
         self._traffic.sent_bytes += len(data)
@@ -110,9 +101,8 @@
         self._sock.close()
 
     async def _exchange(self, data: bytes) -> bytes:
-        async with disable_cancellation():
-            await self._sock.asend(data)
-            return await self._sock.arecv()
+        await _send(self._sock, data)
+        return await _receive(self._sock)
 
 
 class PeerServer:
@@ -123,11 +113,7 @@
 
     def __init__(self, address: str, port: int, traffic: PeerTraffic) -> None:
         self._traffic = traffic
-        self._sock = Rep0(
-            recv_timeout=IDLE_TIMEOUT_MS,
-            send_timeout=EXCHANGE_TIMEOUT_MS,
-            recv_max_size=QUESTION_LIMIT_BYTES,
-        )
+        self._sock = Rep0(recv_max_size=QUESTION_LIMIT_BYTES)
         try:
             listener = self._sock.listen(f"tcp://{address}:{port}")
         except NNGException as error:
@@ -141,32 +127,23 @@
         return self._port
 
     async def serve(self, respond: Callable[[Question], Awaitable[Answer]]) -> None:
-        """Answer one question after another until cancelled; run `SERVING_TASKS` of these.
-
-        :raises PeerClosedError: if the port was closed.
-        """
-        context = self._sock.new_context()
-        try:
-            while True:
-                data = await _receive(context)
-                await check_cancellation()
-                if data is not None:
-                    await self._serve_one(context, data, respond)
-        finally:
-            _close_context(context)
+        """Answer one question after another until cancelled; other tasks run between them."""
+        while True:
+            data = await _receive(self._sock)
+            await self._serve_one(data, respond)
+            await sleep(0)
 
     def close(self) -> None:
-        """Close the port and all connections."""
+        """Close the port and all connections; `serve` must have ended."""
         self._sock.close()
 
     async def _serve_one(
-        self, context: Context, data: bytes, respond: Callable[[Question], Awaitable[Answer]]
+        self, data: bytes, respond: Callable[[Question], Awaitable[Answer]]
     ) -> None:
         self._traffic.received_bytes += len(data)
         answer = encode_news(await self._answer(data, respond))
         try:
-            async with disable_cancellation():
-                await context.asend(answer)
+            self._sock.send(answer, block=False)
         except NNGException:
             self._traffic.exchanges_failed += 1
             return
@@ -202,19 +179,20 @@
     return PeerTraffic()
 
 
-async def _receive(context: Context) -> bytes | None:
-    try:
-        async with disable_cancellation():
-            return await context.arecv()
-    except Timeout:
-        return None
-    except NNGException as error:
-        raise PeerClosedError(str(error)) from error
+async def _send(sock: Socket, data: bytes) -> None:
+    while True:
+        try:
+            return sock.send(data, block=False)
+        except TryAgain:
+            await wait_readable(sock.send_fd)
 
 
-def _close_context(context: Context) -> None:
-    with suppress(NNGException):
-        context.close()
+async def _receive(sock: Socket) -> bytes:
+    while True:
+        try:
+            return sock.recv(block=False)
+        except TryAgain:
+            await wait_readable(sock.recv_fd)
 
 
 def _read_answer(data: bytes) -> Answer:
--- a/tests/membership_double.py
+++ b/tests/membership_double.py
@@ -134,7 +134,6 @@
 
     async def kill(self, membership: Membership) -> None:
         """End a membership without a word to the others."""
-        membership.server.close()
         for task in self._tasks.pop(membership.gossip.own):
             await task.cancel()
         self.members.remove(membership)
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -4,7 +4,7 @@
 from time import monotonic
 
 import pytest
-from curio import TaskGroup, run, sleep, spawn, timeout_after
+from curio import TaskCancelled, TaskGroup, run, sleep, spawn, timeout_after
 from membership_double import ADDRESS, record_for
 
 from pollenbay.ids import InstanceId
@@ -18,8 +18,7 @@
     decode_answer,
 )
 from pollenbay.peer import (
-    EXCHANGE_TIMEOUT_MS,
-    IDLE_TIMEOUT_MS,
+    EXCHANGE_TIMEOUT_S,
     QUESTION_LIMIT_BYTES,
     PeerAnswerError,
     PeerListenError,
@@ -29,9 +28,8 @@
     make_peer_traffic,
 )
 
-MS_PER_S = 1000
-#: Longest that one question may take: a send and a receive that both run out, and some more.
-ASK_BOUND_S = 2 * EXCHANGE_TIMEOUT_MS / MS_PER_S + 1.0
+#: Longest that one question may take on a busy machine.
+ASK_BOUND_S = EXCHANGE_TIMEOUT_S + 1.0
 QUESTION = PageRequest(InstanceId(""))
 
 
@@ -85,8 +83,7 @@
     def test_bytes_that_are_no_question_are_refused_and_the_server_goes_on(self):
         async def main():
             async with Pair() as pair:
-                await pair.link._sock.asend(b"\xc1 no message")
-                refusal = decode_answer(await pair.link._sock.arecv())
+                refusal = decode_answer(await pair.link._exchange(b"\xc1 no message"))
                 return refusal, await pair.link.ask(QUESTION), pair.served.questions_refused
 
         refusal, answer, refused = run(main)
@@ -172,17 +169,46 @@
 
 
 class TestCancellation:
-    def test_idle_server_is_cancelled_within_its_time_limit(self):
+    def test_idle_server_and_waiting_question_are_cancelled_at_once(self):
+        silent = socket()
+        silent.bind((ADDRESS, 0))
+        silent.listen()
+
         async def main():
-            server = make_peer_server(ADDRESS, 0, make_peer_traffic())
-            task = await spawn(server.serve, answer_page)
+            traffic = make_peer_traffic()
+            server = make_peer_server(ADDRESS, 0, traffic)
+            link = make_peer_link(ADDRESS, silent.getsockname()[1], traffic)
+            tasks = [
+                await spawn(server.serve, answer_page),
+                await spawn(link.ask, QUESTION),
+            ]
             await sleep(0.05)
             start = monotonic()
-            await task.cancel()
+            for task in tasks:
+                await task.cancel()
+            elapsed_s = monotonic() - start
             server.close()
-            return monotonic() - start
+            link.close()
+            return elapsed_s, [type(task.exception) for task in tasks]
 
-        assert run(main) < IDLE_TIMEOUT_MS / MS_PER_S + 1.0
+        with silent:
+            elapsed_s, errors = run(main)
+        assert elapsed_s < EXCHANGE_TIMEOUT_S / 2
+        assert errors == [TaskCancelled, TaskCancelled]
+
+    def test_link_whose_question_was_cancelled_answers_the_next(self):
+        async def slow(question):
+            await sleep(0.2)
+            return await answer_page(question)
+
+        async def main():
+            async with Pair(slow) as pair:
+                task = await spawn(pair.link.ask, QUESTION)
+                await sleep(0.05)
+                await task.cancel()
+                return await pair.link.ask(QUESTION)
+
+        assert isinstance(run(main), PageAnswer)
 
 
 class TestPort:
