--- a/src/pollenbay/commands/heartbeat.py
+++ b/src/pollenbay/commands/heartbeat.py
@@ -5,7 +5,14 @@
 from pollenbay.commands.membership import apply_record, apply_report, drop_contact, hear
 from pollenbay.gossip import Clock, Gossip
 from pollenbay.ids import InstanceId
-from pollenbay.news import NEWS_LIMIT, REPORT_LIMIT, Heartbeat, Record, Report
+from pollenbay.news import (
+    NEWS_LIMIT,
+    REPORT_LIMIT,
+    REPORT_ROUND_LIMIT,
+    Heartbeat,
+    Record,
+    Report,
+)
 from pollenbay.queries.membership import record_of, standing_of, view_digest
 from pollenbay.rulebook import Rulebook
 from pollenbay.states import MemberState
@@ -164,7 +171,8 @@
     gossip: Gossip, view: View, receiver: InstanceId | None, rng: Random
 ) -> list[Report]:
     waiting = [each for each in gossip.reports if each != receiver]
-    picked = rng.sample(waiting, min(REPORT_LIMIT, len(waiting)))
+    share = REPORT_ROUND_LIMIT // max(len(gossip.contacts), 1)
+    picked = rng.sample(waiting, min(REPORT_LIMIT, share, len(waiting)))
     for instance in picked:
         _count_report(gossip, instance)
     return [report_of(view.members[each]) for each in picked if each in view.members]
--- a/src/pollenbay/news.py
+++ b/src/pollenbay/news.py
@@ -23,6 +23,8 @@
 NEWS_LIMIT = 64
 #: Most reports on other members in one heartbeat.
 REPORT_LIMIT = 16
+#: Most reports on other members in one round of heartbeats to all contacts.
+REPORT_ROUND_LIMIT = 48
 #: Most records in one page of a view.
 PAGE_LIMIT = 256
 MESSAGE_LIMIT_BYTES = 4 * 1024 * 1024
