--- a/tests/test_gossiping.py
+++ b/tests/test_gossiping.py
@@ -7,10 +7,18 @@
 from membership_double import Group, SharedTable, seed_of, state_in
 from test_delta import rules_of
 
+from pollenbay.commands import joining, peering, pulling
 from pollenbay.commands.gossiping import announce_leaving, announce_serving, report_load
 from pollenbay.commands.pulling import adopt_rules
 from pollenbay.ids import RowKey, RuleVersion
 from pollenbay.membership import JoinProblem
+from pollenbay.peer import (
+    EXCHANGE_TIMEOUT_S,
+    PeerLink,
+    PeerSilentError,
+    PeerTraffic,
+    make_peer_link,
+)
 from pollenbay.queries.survey import ask_reports
 from pollenbay.rulerow import CURRENT_KEY, encode_row, history_key
 from pollenbay.states import MemberState
@@ -268,6 +276,70 @@
         in_group(scenario)
 
 
+class Partition:
+    """Cuts the links between two parts of a group.
+
+    :param cut: names on one side; empty while all is whole.
+    """
+
+    def __init__(self, group: Group) -> None:
+        self._group = group
+        self.cut: set[str] = set()
+
+    def make_link(self, address: str, port: int, traffic: PeerTraffic) -> PeerLink:
+        """Return a link that is silent while its two ends are cut apart."""
+        link = make_peer_link(address, port, traffic)
+        ask = link.ask
+        source = next(each for each in self._group.members if each.traffic is traffic)
+
+        async def ask_unless_cut(question):
+            target = next(each for each in self._group.members if each.gossip_port == port)
+            if (source.gossip.own in self.cut) != (target.gossip.own in self.cut):
+                await sleep(EXCHANGE_TIMEOUT_S)
+                raise PeerSilentError("cut")
+            return await ask(question)
+
+        link.ask = ask_unless_cut
+        return link
+
+
+class TestPartition:
+    def test_regions_that_lose_each_other_forget_nobody_and_meet_again(self, monkeypatch):
+        async def scenario(group):
+            partition = Partition(group)
+            for module in (peering, pulling, joining):
+                monkeypatch.setattr(module, "make_peer_link", partition.make_link)
+            for number in range(9):
+                region = "r1" if number < 6 else "r2"
+                await group.start(f"i{number}", zone=f"z{number // 2}", region=region)
+            for membership in group.members:
+                announce_serving(membership)
+            await wait_for(lambda: all_believe(group, MemberState.SERVING), SOON_S, "serving")
+            partition.cut = {"i6", "i7", "i8"}
+            group.table.down = True
+            far = [each for each in group.members if each.gossip.own in partition.cut]
+            near = [each for each in group.members if each not in far]
+            suspected = lambda: all(  # noqa: E731
+                state_in(each, name) is MemberState.SUSPECT
+                for each in near
+                for name in partition.cut
+            )
+            await wait_for(suspected, SOON_S, "suspicion")
+            await adopt_rules(near[0], rules_of(3, 10))
+            await sleep(2 * DEAD_WITHIN_S)
+            assert suspected()
+            assert sum(each.gossip.counts.declared_dead for each in group.members) == 0
+            assert {each.rulebook.version for each in near} == {3}
+            assert {each.rulebook.version for each in far} == {0}
+            partition.cut = set()
+            await wait_for(lambda: all_believe(group, MemberState.SERVING), SOON_S, "reunion")
+            whole = lambda: {each.rulebook.version for each in group.members} == {3}  # noqa: E731
+            await wait_for(whole, RULES_WITHIN_S, "the rules")
+            assert sum(each.gossip.counts.reincarnations for each in group.members) == 0
+
+        in_group(scenario)
+
+
 async def publish(table: SharedTable, rules) -> None:
     """Write a version to the table as a publication does."""
     writes = [
