Four peers instead of five, chosen more evenly

Cause: an exchange costs 0.5 to 0.7 ms of processor time on each side by pynng alone when the machine is busy, and with five rings a node of 3,800 was chosen by up to 19 others, which would pass 1.7 % of a core. Change: one ring for other zones instead of two; outside of the own zone the shorter arc of two rings is taken; no wake-up for the gap between two heartbeats.

--- a/src/pollenbay/commands/peering.py
+++ b/src/pollenbay/commands/peering.py
@@ -126,9 +126,10 @@
     membership.ticks[instance] = ticks
     try:
         while is_wanted(membership, instance, incarnation):
+            sent_at = membership.timer.now()
             await _beat(membership, instance, link)
-            await sleep(PUSH_GAP_S)
             await ticks.wait()
+            await sleep(max(sent_at + PUSH_GAP_S - membership.timer.now(), 0.0))
         await _take_leave(membership, instance, link)
     finally:
         ticks.cancel()
--- a/src/pollenbay/queries/peers.py
+++ b/src/pollenbay/queries/peers.py
@@ -1,11 +1,11 @@
 """Choice of the few members that a node exchanges heartbeats with.
 
 Each node stands on several rings, on each of which the members are ordered by a hash, and takes
-its successor on each. Every node then has about as many observers as peers, and a change of one
-member moves only its neighbours.
+its successor on each. A change of one member then moves only its neighbours. Outside of the own
+zone it looks at a second ring and takes the successor with the shorter arc before it, since those
+with long arcs are chosen by many.
 """
 
-from collections.abc import Callable, Iterable
 from functools import lru_cache
 from hashlib import blake2b
 
@@ -14,7 +14,7 @@
 from pollenbay.view import Member, View
 
 ZONE_RINGS = 2
-REGION_RINGS = 2
+REGION_RINGS = 1
 WORLD_RINGS = 1
 RINGS = ZONE_RINGS + REGION_RINGS + WORLD_RINGS
 POSITION_BYTES = 8
@@ -25,7 +25,7 @@
 
 
 def choose_peers(view: View, own: InstanceId) -> list[InstanceId]:
-    """Return up to `RINGS` members: of the own zone, of other zones, of another region.
+    """Return up to `RINGS` members: of the own zone, of another zone, of another region.
 
     Rings on which nobody qualifies are filled from all members.
     """
@@ -33,11 +33,12 @@
     others = [member for member in view.members.values() if _can_be_peer(member, own)]
     chosen: list[InstanceId] = []
     for ring in range(RINGS):
-        pool = filter(_qualifies(ring, me), others)
-        _add_successor(chosen, pool, ring, own)
+        pool = [each.instance for each in others if _qualifies(each, me, ring)]
+        _add_peer(chosen, pool, ring, own)
+    everybody = [each.instance for each in others]
     for ring in range(RINGS):
         if len(chosen) < RINGS:
-            _add_successor(chosen, others, ring, own)
+            _add_peer(chosen, everybody, ring, own)
     return chosen
 
 
@@ -52,27 +53,35 @@
     return member.instance != own and member.state in _PEER_STATES
 
 
-def _qualifies(ring: int, me: Member) -> Callable[[Member], bool]:
+def _qualifies(member: Member, me: Member, ring: int) -> bool:
     if ring < ZONE_RINGS:
-        return lambda member: member.place.zone == me.place.zone
+        return member.place.zone == me.place.zone
     if ring < ZONE_RINGS + REGION_RINGS:
-        return lambda member: _is_in_other_zone(member, me)
-    return lambda member: member.place.region != me.place.region
+        same_region = member.place.region == me.place.region
+        return same_region and member.place.zone != me.place.zone
+    return member.place.region != me.place.region
 
 
-def _is_in_other_zone(member: Member, me: Member) -> bool:
-    same_region = member.place.region == me.place.region
-    return same_region and member.place.zone != me.place.zone
+def _add_peer(chosen: list[InstanceId], pool: list[InstanceId], ring: int, own: InstanceId) -> None:
+    candidates = [each for each in pool if each not in chosen]
+    if not candidates:
+        return
+    first = _successor(candidates, ring, own)
+    if ring >= ZONE_RINGS:
+        second = _successor(candidates, ring + RINGS, own)
+        if _arc(candidates, ring + RINGS, second) < _arc(candidates, ring, first):
+            first = second
+    chosen.append(first)
 
 
-def _add_successor(
-    chosen: list[InstanceId], pool: Iterable[Member], ring: int, own: InstanceId
-) -> None:
+def _successor(candidates: list[InstanceId], ring: int, own: InstanceId) -> InstanceId:
     start = ring_position(own, ring)
-    candidates = [member.instance for member in pool if member.instance not in chosen]
-    if candidates:
-        chosen.append(min(candidates, key=lambda each: _distance(start, each, ring)))
+    return min(candidates, key=lambda each: (ring_position(each, ring) - start) % POSITION_MODULUS)
 
 
-def _distance(start: int, instance: InstanceId, ring: int) -> int:
-    return (ring_position(instance, ring) - start) % POSITION_MODULUS
+def _arc(candidates: list[InstanceId], ring: int, instance: InstanceId) -> int:
+    """Return the length of the ring from the candidate before an instance to that instance."""
+    end = ring_position(instance, ring)
+    others = (each for each in candidates if each != instance)
+    arcs = ((end - ring_position(each, ring)) % POSITION_MODULUS for each in others)
+    return min(arcs, default=POSITION_MODULUS)
--- a/tests/test_gossiping.py
+++ b/tests/test_gossiping.py
@@ -178,6 +178,16 @@
 
         in_group(scenario)
 
+    def test_row_of_an_earlier_run_alone_raises_the_incarnation(self):
+        async def scenario(group):
+            first = await group.start("i1", incarnation=9_000_000_000_000)
+            await wait_for(lambda: bool(group.table.rows), SOON_S, "the row")
+            await group.kill(first)
+            again = await group.start("i1", incarnation=5)
+            await wait_for(lambda: again.incarnation > 9_000_000_000_000, SOON_S, "incarnation")
+
+        in_group(scenario)
+
     def test_live_nodes_are_not_suspected(self):
         async def scenario(group):
             await start_group(group)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -12,7 +12,7 @@
 from pollenbay.view import View
 
 #: Heartbeats a second that the most chosen member may have to answer.
-CHOOSERS_MAX = 25
+CHOOSERS_MAX = 12
 ZONES = {"z1": "r1", "z2": "r1", "z3": "r1", "z4": "r2", "z5": "r2", "z6": "r3", "z7": "r3"}
 
 
@@ -47,7 +47,7 @@
             assert any(place.zone != own.zone and place.region == own.region for place in chosen)
             assert any(place.region != own.region for place in chosen)
 
-    @pytest.mark.parametrize("size", [1, 2, 3, 6])
+    @pytest.mark.parametrize("size", [1, 2, 3, 5])
     def test_small_group_is_fully_connected(self, size):
         view = view_of(*(member_for(f"i{number}") for number in range(size)))
         for instance in view.members:
