Trust the table again once a claim has been read back

Cause: a lost answer to the write of a claim marked the table as failing for half a second, also when reading the row back showed a moment later that the table works. All other claims on that node were refused as not run meanwhile. Change: a read that succeeds ends the mark. What is claimed and by whom is unaffected. Before: test_claim_whose_answer_was_lost_is_read_back red (refused as claim-unavailable). After: green.

--- a/src/pollenbay/commands/claim.py
+++ b/src/pollenbay/commands/claim.py
@@ -136,6 +136,7 @@
         if isinstance(result, Err):
             _note_failure(ledger)
             return _unavailable()
+        ledger.health.failing = False
         verdict = _judge(ledger, attempt, result.unwrap())
         if isinstance(verdict, Mine):
             return _claim_of(attempt, verdict.version)
