--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 VENV ?= .venv
 PYTHON = PYTHONPATH=src $(VENV)/bin/python
 
-.PHONY: setup test lint format demo bench
+.PHONY: setup test faults lint format demo bench
 
 setup: $(VENV)/.ready
 
@@ -15,6 +15,10 @@
 test: setup
 	$(PYTHON) -m pytest
 
+# All pairs of faults; `make test` runs a few of them.
+faults: setup
+	$(PYTHON) -m pytest -s -m "long or not long" tests/test_fault_pairs.py
+
 lint: setup
 	$(VENV)/bin/black --check src tests
 	$(VENV)/bin/ruff check src tests
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import contextmanager
 from dataclasses import dataclass
 from http.client import HTTPException
 from threading import Event
@@ -13,6 +14,8 @@
 
 BODY_BYTES = 300
 REPEAT_MARK = "-repeat"
+#: A crowd ends by itself after so long, so that a test that fails ends too.
+CROWD_LIMIT_S = 60.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,7 +113,8 @@
 
     def _one(self, path: str, number: int, stop: Event) -> list[Told]:
         told: list[Told] = []
-        while not stop.is_set():
+        ends_at = monotonic() + CROWD_LIMIT_S
+        while not stop.is_set() and monotonic() < ends_at:
             marker = f"{self.name}-{path.strip('/').replace('/', '.')}-{number}-{len(told)}"
             told += self._ask(path, number, marker, len(told))
             stop.wait(self.pause_s)
@@ -128,6 +132,21 @@
         return told
 
 
+@contextmanager
+def asking(*crowds: Crowd) -> Iterator[list[Told]]:
+    """Let crowds ask while the block runs; all that they were told is in the list at its end."""
+    told: list[Told] = []
+    stop = Event()
+    with ThreadPoolExecutor(len(crowds)) as pool:
+        running = [crowd.run_beside(pool, stop) for crowd in crowds]
+        try:
+            yield told
+        finally:
+            stop.set()
+        for future in running:
+            told += future.result()
+
+
 def markers_run(targets: Iterable[Process]) -> dict[str, int]:
     """Return how often each marker ran, over all targets."""
     counted: dict[str, int] = {}
