--- a/tests/test_promise_answers.py
+++ b/tests/test_promise_answers.py
@@ -10,7 +10,7 @@
 import pytest
 from cluster import Cluster, make_cluster
 from crowd import BODY_BYTES, Crowd, Told, ask, body_of
-from harness import Processes, control, wait_until
+from harness import Processes, control, counts, wait_until
 from raw_target import marker_in, raw_target
 from stock_cluster import STOCK, metric, serve_only_at, two_of_stock
 
@@ -86,6 +86,22 @@
             assert [each.outcome for each in told if not each.answered] == []
             assert max(each.ended_at - each.began_at for each in told) > 1, "nothing was silent"
 
+    def test_one_silent_connection_ends_trust_in_those_beside_it(self, tmp_path: Path) -> None:
+        with Processes(tmp_path) as processes, ThreadPoolExecutor(8) as pool:
+            cluster = two_of_stock(processes, proxied=True)
+            serve_only_at(cluster, "stock-2")
+            port, proxy = cluster["stock-1"].callers, cluster["stock-2"].link_proxy
+            control(cluster["stock-2"].target, service_time_factor=5.0)
+            asked = [
+                pool.submit(ask, port, f"w{n}", "/stock/read", "GET", "c", None) for n in range(8)
+            ]
+            assert any([each.result().answered for each in asked])
+            assert counts(proxy)["open"] >= 4, "too few connections are kept"
+            control(proxy, mode="silence")
+            for number in range(2):
+                told = ask(port, f"m{number}", "/stock/read", "GET", "c", None)
+                assert told.answered and told.whole
+
     def test_slow_call_is_not_taken_for_silence(self, tmp_path: Path) -> None:
         with Processes(tmp_path) as processes:
             cluster = two_of_stock(processes)
