Drop old waiters of lesser classes from a queue that never empties

Cause: in a surge, calls that wait at stock until their deadline hold slots of bookings and routes all that time, so that bookings of critical class are refused at the full queue there. Change: once a level has not been empty for 0.5 s, a waiter that is not critical is dropped after 0.15 s, or after what a call takes if that is longer; nothing changes while latency is unknown. With the drop taken out by hand three of the new tests fail.

--- a/src/pollenbay/commands/admission.py
+++ b/src/pollenbay/commands/admission.py
@@ -7,11 +7,14 @@
 
 from pollenbay.gate import Arrival, Gate, Refusal, Ticket, Waiter
 from pollenbay.queries.admission import can_meet_deadline, has_slot, needed_s
-from pollenbay.states import Reason
+from pollenbay.states import CallClass, Reason
 from pollenbay.waiting import level_of
 
 #: Waiters looked at to find one whose caller has more than its share.
 OLDEST_TRIED = 8
+#: Once its level has not been empty for long, a call that is not critical waits for this time or
+#: for as long as it would run.
+STANDING_WAIT_S = 0.15
 
 
 def admit(gate: Gate, arrival: Arrival, now: float) -> Ticket | Waiter | Refusal:
@@ -72,9 +75,9 @@
 
 
 def expire(gate: Gate, now: float) -> list[Waiter]:
-    """Drop waiters that cannot make their deadline and fill free slots."""
+    """Drop waiters that cannot make their deadline or wait in vain, and fill free slots."""
     gate.shedding.end_period(now)
-    settled = [waiter for waiter in gate.line if not can_meet_deadline(gate, waiter.arrival, now)]
+    settled = [waiter for waiter in gate.line if _is_beyond_help(gate, waiter, now)]
     for waiter in settled:
         gate.line.remove(waiter)
         _refuse(gate, waiter, Reason.QUEUE_TIMEOUT)
@@ -91,6 +94,19 @@
     gate.limit.start_cold(now)
 
 
+def _is_beyond_help(gate: Gate, waiter: Waiter, now: float) -> bool:
+    """Tell whether a waiter only holds slots of those that called it."""
+    arrival = waiter.arrival
+    if not can_meet_deadline(gate, arrival, now):
+        return True
+    if arrival.call_class is CallClass.CRITICAL:
+        return False
+    if not gate.line.levels[waiter.level].newest_first(now):
+        return False
+    expected_s = needed_s(gate, arrival)
+    return 0.0 < expected_s and now - arrival.arrived_at > max(expected_s, STANDING_WAIT_S)
+
+
 def _take_place(gate: Gate, newcomer: Waiter, now: float) -> Waiter | None:
     victim = _victim(gate, newcomer, now)
     if victim is not None:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -1,6 +1,14 @@
 """Tests of the decisions at the gate, one feature each."""
 
-from pollenbay.commands.admission import abandon, admit, expire, release, resume, set_slots
+from pollenbay.commands.admission import (
+    STANDING_WAIT_S,
+    abandon,
+    admit,
+    expire,
+    release,
+    resume,
+    set_slots,
+)
 from pollenbay.gate import QUEUE_MAX, QUEUE_MIN, Arrival, Gate, Refusal, Ticket, Waiter, make_gate
 from pollenbay.ids import CallerId
 from pollenbay.queries.admission import LATENCY_VALID_S, load
@@ -128,6 +136,49 @@
         assert gate.in_flight == 1
 
 
+class TestStandingQueue:
+    STANDING_AT = NOW + NEWEST_FIRST_AFTER_S + 0.01
+
+    def test_old_waiters_of_a_queue_that_never_empties_are_dropped(self) -> None:
+        gate = measured_gate(0.1)
+        waiters = queue(gate, 2, CallClass.NORMAL)
+        assert expire(gate, NOW + NEWEST_FIRST_AFTER_S) == []
+        assert expire(gate, self.STANDING_AT) == waiters
+        for waiter in waiters:
+            assert isinstance(waiter.decision, Refusal)
+            assert waiter.decision.reason is Reason.QUEUE_TIMEOUT
+
+    def test_new_waiters_stay(self) -> None:
+        gate = measured_gate(0.1)
+        queue(gate, 1, CallClass.NORMAL)
+        late = Arrival(CallClass.NORMAL, CallerId("late"), NOW + 10.0, self.STANDING_AT)
+        newest = admit(gate, late, self.STANDING_AT)
+        expire(gate, self.STANDING_AT + STANDING_WAIT_S - 0.01)
+        assert list(gate.line) == [newest]
+
+    def test_where_calls_take_long_they_wait_for_as_long(self) -> None:
+        gate = measured_gate(2.0)
+        waiters = queue(gate, 1, CallClass.NORMAL)
+        assert expire(gate, NOW + 1.9) == []
+        assert expire(gate, NOW + 2.1) == waiters
+
+    def test_critical_ones_wait_until_their_deadline(self) -> None:
+        gate = measured_gate(0.1)
+        waiters = queue(gate, 2, CallClass.CRITICAL)
+        assert expire(gate, NOW + 5.0) == []
+        assert expire(gate, NOW + 10.0) == waiters
+
+
+def measured_gate(latency_s: float) -> Gate:
+    """Return a full gate that knows how long calls of each class take."""
+    gate = make_gate(1)
+    for call_class in CallClass:
+        (ticket,) = fill(gate, call_class)
+        release(gate, ticket, latency_s, True, NOW)
+    fill(gate)
+    return gate
+
+
 class TestCallers:
     def test_a_lone_caller_may_use_everything(self) -> None:
         gate = make_gate(8)
