Give targets that began cold their slots while these are not in use

Cause: a node gives a new target half of its slots and raises them by trials only, and trials end undone while the limit is not in use; so a surge met bookings, routes and docs at half their slots. Change: while no trial has lowered the limit, a window that does not fill it doubles it up to the announced slots. Each half of the change taken out by hand turns one of the new tests red.

--- a/src/pollenbay/limit.py
+++ b/src/pollenbay/limit.py
@@ -98,6 +98,7 @@
         self._sampled_at = [0.0] * len(CallClass)
         self._window = Window(0.0, WINDOW_SAMPLES)
         self._window_s = WINDOW_MIN_S
+        self._cold = False
 
     @property
     def slots(self) -> int:
@@ -141,6 +142,7 @@
         self._next_phase = Phase.MORE
         self._next_trial_at = now
         self._pause_s = PAUSE_MIN_S
+        self._cold = True
         self._open_window(Phase.HOLD, now)
 
     def observe(
@@ -230,6 +232,7 @@
         ratio = self._ratio()
         if not self._is_saturated():
             self._keep(self._held)
+            self._warm_up()
             self._learn_references(REFERENCE_WEIGHT)
             self._open_window(Phase.HOLD, now)
         elif self._phase is Phase.HOLD and ratio > SURGE_RATIO:
@@ -242,6 +245,11 @@
         else:
             self._end_trial(ratio, now)
 
+    def _warm_up(self) -> None:
+        """Give a target that began cold its slots, as no measurement speaks against them."""
+        if self._cold and self._value < self._slots and not self._has_failed():
+            self._keep(min(self._value * REGAIN_FACTOR, float(self._slots)))
+
     def _end_hold(self, ratio: float, mean_s: float, now: float) -> None:
         self._learn_references(1.0 if ratio < FASTER_RATIO else REFERENCE_WEIGHT)
         steady = STEADY_RATIOS[0] <= ratio <= STEADY_RATIOS[1]
@@ -268,6 +276,7 @@
         phase = self._phase
         if self._is_kept(phase, elasticity):
             self._keep(self._value)
+            self._cold = self._cold and phase is Phase.MORE
             self._learn_references(1.0)
             self._next_phase = phase
             self._pause_s = PAUSE_MIN_S
--- a/tests/test_limit.py
+++ b/tests/test_limit.py
@@ -152,6 +152,21 @@
         limit.set_slots(0)
         assert limit.value == 1
 
+    def test_a_cold_target_gets_its_slots_though_they_are_not_in_use(self) -> None:
+        target = Target(make_limit(16), 16)
+        target.limit.start_cold(0.0)
+        assert target.limit.value == 8
+        target.run(20.0, used=0.3)
+        assert target.limit.value == 16
+
+    def test_slots_that_a_trial_took_away_do_not_come_back_unused(self) -> None:
+        target = Target(make_limit(32), 4)
+        target.limit.start_cold(0.0)
+        found = settled(target.run(60.0))
+        assert found < 10
+        target.run(20.0, used=0.3)
+        assert target.limit.value < 12
+
     def test_a_cold_target_is_filled_step_by_step(self) -> None:
         limit = make_limit(20)
         limit.start_cold(0.0)
