--- a/src/pollenbay/commands/admission.py
+++ b/src/pollenbay/commands/admission.py
@@ -7,11 +7,14 @@
 
 from pollenbay.gate import Arrival, Gate, Refusal, Ticket, Waiter
 from pollenbay.queries.admission import can_meet_deadline, has_slot, needed_s
-from pollenbay.states import Reason
+from pollenbay.states import CallClass, Reason
 from pollenbay.waiting import level_of
 
 #: Waiters looked at to find one whose caller has more than its share.
 OLDEST_TRIED = 8
+#: Once its level has not been empty for long, a call that is not critical waits for this time or
+#: for as long as it would run.
+STANDING_WAIT_S = 0.15
 
 
 def admit(gate: Gate, arrival: Arrival, now: float) -> Ticket | Waiter | Refusal:
@@ -35,17 +38,26 @@
     return _queue(gate, waiter, now)
 
 
-def release(gate: Gate, ticket: Ticket, latency_s: float, ok: bool, now: float) -> list[Waiter]:
+def release(
+    gate: Gate,
+    ticket: Ticket,
+    latency_s: float,
+    ok: bool,
+    now: float,
+    own_s: float | None = None,
+) -> list[Waiter]:
     """Take a ticket back and return the waiters that were settled by it.
 
     :param latency_s: seconds from the sending of the call to the end of its answer.
     :param ok: whether the target answered; a call cut short or failed is not ok.
+    :param own_s: seconds of it that the target spent itself, without waiting for calls of its
+        own, which say nothing of how many calls it can run; all of it if not known.
     """
     if ticket.released:
         return []
     arrival = ticket.arrival
     rank = arrival.call_class.rank
-    gate.limit.observe(rank, latency_s, ok, gate.in_flight, now)
+    gate.limit.observe(rank, latency_s, ok, gate.in_flight, now, own_s)
     _give_up_slot(gate, ticket)
     return _grant(gate, now)
 
@@ -63,9 +75,9 @@
 
 
 def expire(gate: Gate, now: float) -> list[Waiter]:
-    """Drop waiters that cannot make their deadline and fill free slots."""
+    """Drop waiters that cannot make their deadline or wait in vain, and fill free slots."""
     gate.shedding.end_period(now)
-    settled = [waiter for waiter in gate.line if not can_meet_deadline(gate, waiter.arrival, now)]
+    settled = [waiter for waiter in gate.line if _is_beyond_help(gate, waiter, now)]
     for waiter in settled:
         gate.line.remove(waiter)
         _refuse(gate, waiter, Reason.QUEUE_TIMEOUT)
@@ -82,6 +94,19 @@
     gate.limit.start_cold(now)
 
 
+def _is_beyond_help(gate: Gate, waiter: Waiter, now: float) -> bool:
+    """Tell whether a waiter only holds slots of those that called it."""
+    arrival = waiter.arrival
+    if not can_meet_deadline(gate, arrival, now):
+        return True
+    if arrival.call_class is CallClass.CRITICAL:
+        return False
+    if not gate.line.levels[waiter.level].newest_first(now):
+        return False
+    expected_s = needed_s(gate, arrival)
+    return 0.0 < expected_s and now - arrival.arrived_at > max(expected_s, STANDING_WAIT_S)
+
+
 def _take_place(gate: Gate, newcomer: Waiter, now: float) -> Waiter | None:
     victim = _victim(gate, newcomer, now)
     if victim is not None:
@@ -138,6 +163,10 @@
         if waiter is None:
             gate.shedding.note_spare()
             break
+        if _falls_behind(gate, waiter):
+            waiter.level += 1
+            gate.line.add(waiter, now)
+            continue
         if can_meet_deadline(gate, waiter.arrival, now):
             waiter.decision = _ticket(gate, waiter.arrival, now)
         else:
@@ -146,6 +175,14 @@
     return settled
 
 
+def _falls_behind(gate: Gate, waiter: Waiter) -> bool:
+    """Tell whether others have come since a waiter was queued, so that its caller has too much."""
+    rank = waiter.arrival.call_class.rank
+    if waiter.level != level_of(rank, over_share=False):
+        return False
+    return gate.shares.over_share(rank, waiter.arrival.caller, gate.limit.value)
+
+
 def _refuse(gate: Gate, waiter: Waiter, reason: Reason) -> None:
     gate.shares.remove(waiter.arrival.call_class.rank, waiter.arrival.caller)
     waiter.decision = _refusal(gate, waiter.arrival, reason)
--- a/src/pollenbay/limit.py
+++ b/src/pollenbay/limit.py
@@ -7,18 +7,22 @@
 becomes slower or faster for reasons of its own does not mislead it for long.
 """
 
-from enum import Enum
 from math import log
 
 from pollenbay.states import CallClass
+from pollenbay.window import Phase, Window
 
 MIN_LIMIT = 1.0
 #: The limit never grows past this multiple of the announced slots.
 CEILING_PER_SLOT = 4.0
-COLD_START_PART = 0.25
+COLD_START_PART = 0.5
+#: A target with no more slots than this begins with all of them.
+COLD_START_SLOTS_MIN = 4
 #: By how much a trial changes the limit: after one that was kept, and else.
 WIDE_STEP = 1.5
 NARROW_STEP = 1.15
+#: A target that began cold is raised to its announced slots in larger steps.
+REGAIN_STEP = 2.0
 HALF_FACTOR = 0.5
 #: Relative change of latency by relative change of the limit: 0 with room, 1 when calls queue.
 KNEE_ELASTICITY = 0.7
@@ -41,52 +45,13 @@
 #: More concurrency is not kept if more than this part of the calls failed.
 FAILURES_PART = 0.05
 FAILURES_MIN = 10
+TINY_S = 1e-9
 PAUSE_MIN_S = 1.0
 PAUSE_DOUBLINGS = 3
 REFERENCE_WEIGHT = 0.3
 LATENCY_WEIGHT = 0.1
 
 
-class Phase(Enum):
-    """What the current window is for."""
-
-    HOLD = "hold"
-    SURGE = "surge"
-    LESS = "less"
-    MORE = "more"
-
-
-class Window:
-    """What was measured from a time on.
-
-    :param started_at: monotonic seconds.
-    :param wanted: samples that suffice.
-    """
-
-    __slots__ = (
-        "started_at",
-        "wanted",
-        "last_at",
-        "occupied_s",
-        "expected_s",
-        "samples",
-        "failures",
-        "ends",
-        "running",
-    )
-
-    def __init__(self, started_at: float, wanted: int) -> None:
-        self.started_at = started_at
-        self.wanted = wanted
-        self.last_at = started_at
-        self.occupied_s = 0.0
-        self.expected_s = 0.0
-        self.samples = 0
-        self.failures = 0
-        self.ends = 0
-        self.running = 0
-
-
 class Limit:
     """How many calls a target may run at once.
 
@@ -108,6 +73,7 @@
         self._sampled_at = [0.0] * len(CallClass)
         self._window = Window(0.0, WINDOW_SAMPLES)
         self._window_s = WINDOW_MIN_S
+        self._cold = False
 
     @property
     def slots(self) -> int:
@@ -145,19 +111,31 @@
 
     def start_cold(self, now: float) -> None:
         """Forget what was measured and begin with a part of the slots."""
-        self._held = self._value = self._bounded(self._slots * COLD_START_PART)
+        least = min(self._slots, COLD_START_SLOTS_MIN)
+        self._held = self._value = max(self._slots * COLD_START_PART, least)
         self._weights_s = [0.0] * len(CallClass)
         self._reference = 0.0
         self._means_s = [0.0] * len(CallClass)
         self._next_phase = Phase.MORE
         self._next_trial_at = now
         self._undone = 0
+        self._searching = False
+        self._cold = True
         self._open_window(Phase.HOLD, now)
 
-    def observe(self, rank: int, latency_s: float, ok: bool, in_flight: int, now: float) -> None:
+    def observe(
+        self,
+        rank: int,
+        latency_s: float,
+        ok: bool,
+        in_flight: int,
+        now: float,
+        own_s: float | None = None,
+    ) -> None:
         """Take in the end of one call.
 
         :param in_flight: calls that were running, with this one.
+        :param own_s: seconds that the target did not spend waiting for calls of its own.
         """
         answered = ok or latency_s > self._means_s[rank]
         if answered:
@@ -173,6 +151,8 @@
             self._count_failure(now)
             return
         window.expected_s += self._weights_s[rank] or latency_s
+        window.latency_s += latency_s
+        window.own_s += latency_s if own_s is None else own_s
         window.samples += 1
         if self._is_complete(now) or self._is_surge():
             self._end_window(now)
@@ -218,8 +198,10 @@
         return window.running >= SATURATED_PART * self.value * window.ends
 
     def _latency(self) -> float:
-        """Return the latency by Little's law, in units of what the classes that came take."""
-        return self._window.occupied_s / max(self._window.expected_s, 1e-9)
+        """Return the target's own latency by Little's law, relative to that of the classes."""
+        window = self._window
+        own_part = window.own_s / max(window.latency_s, TINY_S)
+        return max(window.occupied_s * own_part / max(window.expected_s, TINY_S), TINY_S)
 
     def _end_window(self, now: float) -> None:
         mean_s = self._mean_s()
@@ -228,6 +210,7 @@
         surge = self._reference > 0.0 and latency > SURGE_RATIO * self._reference
         if not self._is_saturated():
             self._forget()
+            self._warm_up()
             self._open_window(Phase.HOLD, now)
         elif self._phase in (Phase.LESS, Phase.MORE):
             self._end_trial(latency, mean_s, now)
@@ -248,6 +231,11 @@
         self._weights_s = list(self._means_s)
         self._reference = 0.0
 
+    def _warm_up(self) -> None:
+        """Give a target that began cold its slots, as no measurement speaks against them."""
+        if self._cold and self._value < self._slots and not self._has_failed():
+            self._keep(min(self._value * REGAIN_STEP, float(self._slots)))
+
     def _end_hold(self, latency: float, mean_s: float, now: float) -> None:
         if not any(self._weights_s) or latency < FASTER_RATIO * self._reference:
             self._forget()
@@ -262,7 +250,11 @@
 
     def _factor(self) -> float:
         step = WIDE_STEP if self._searching else NARROW_STEP
-        return step if self._next_phase is Phase.MORE else 1.0 / step
+        if self._next_phase is Phase.LESS:
+            return 1.0 / step
+        if not self._cold:
+            return step
+        return max(step, min(self._slots / self._value, REGAIN_STEP))
 
     def _try(self, phase: Phase, factor: float, mean_s: float, now: float) -> None:
         self._held = self._value
@@ -280,6 +272,7 @@
         phase = self._phase
         if self._is_kept(phase, elasticity):
             self._keep(self._value)
+            self._cold = self._cold and phase is Phase.MORE
             self._reference = latency
             self._next_phase = phase
             self._undone = 0
