--- a/src/pollenbay/limit.py
+++ b/src/pollenbay/limit.py
@@ -74,6 +74,8 @@
         self._window = Window(0.0, WINDOW_SAMPLES)
         self._window_s = WINDOW_MIN_S
         self._cold = False
+        #: Limit before the search under way.
+        self._origin = self._value
 
     @property
     def slots(self) -> int:
@@ -270,7 +272,10 @@
         ratio = latency / self._reference
         elasticity = log(ratio) / log(change) if change != 1.0 else KNEE_ELASTICITY
         phase = self._phase
+        if abs(elasticity) > PLAUSIBLE_ELASTICITY and self._searching:
+            self._held = self._bounded(self._origin)
         if self._is_kept(phase, elasticity):
+            self._origin = self._origin if self._searching else self._held
             self._keep(self._value)
             self._cold = self._cold and phase is Phase.MORE
             self._reference = latency
