--- a/src/pollenbay/peer.py
+++ b/src/pollenbay/peer.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Awaitable, Callable
+from contextlib import suppress
 
 from curio import TaskTimeout, sleep, timeout_after
 from curio.traps import _read_wait as wait_readable
@@ -188,11 +189,11 @@
 
 
 async def _receive(sock: Socket) -> bytes:
+    """Wait first: a receive that finds nothing costs about as much as one that finds something."""
     while True:
-        try:
+        await wait_readable(sock.recv_fd)
+        with suppress(TryAgain):
             return sock.recv(block=False)
-        except TryAgain:
-            await wait_readable(sock.recv_fd)
 
 
 def _read_answer(data: bytes) -> Answer:
