--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -40,6 +40,11 @@
             return "lost"
         return self.answer.headers.get("pollenbay-outcome", "none")
 
+    @property
+    def reason(self) -> str:
+        """Return the reason that the node stated; empty if there is none."""
+        return "" if self.answer is None else self.answer.headers.get("pollenbay-reason", "")
+
     @property
     def answered(self) -> bool:
         """Tell whether a good answer came."""
--- a/tests/test_fault_pairs.py
+++ b/tests/test_fault_pairs.py
@@ -221,8 +221,11 @@
 
 
 def summary(told: dict[str, list[Told]]) -> dict[str, dict[str, int]]:
-    """Return how often each outcome was told, by path."""
-    return {path: dict(Counter(each.outcome for each in list_)) for path, list_ in told.items()}
+    """Return how often each outcome was told, with its reason, by path."""
+    return {
+        path: dict(Counter(f"{each.outcome} {each.reason}".strip() for each in list_))
+        for path, list_ in told.items()
+    }
 
 
 def check_answers(told: dict[str, list[Told]]) -> None:
