--- a/Makefile
+++ b/Makefile
@@ -20,12 +20,12 @@
 	$(PYTHON) -m pytest -s -m "long or not long" tests/test_fault_pairs.py tests/test_fault_hosts.py tests/test_fault_zones.py
 
 lint: setup
-	$(VENV)/bin/black --check src tests spec
-	$(VENV)/bin/ruff check src tests spec
+	$(VENV)/bin/black --check src tests spec bench
+	$(VENV)/bin/ruff check src tests spec bench
 
 format: setup
-	$(VENV)/bin/black src tests spec
-	$(VENV)/bin/ruff check --fix src tests spec
+	$(VENV)/bin/black src tests spec bench
+	$(VENV)/bin/ruff check --fix src tests spec bench
 
 # DEPLOYMENT is sagbru or esernyo.
 DEPLOYMENT ?= sagbru
