--- a/src/pollenbay/commands/calling.py
+++ b/src/pollenbay/commands/calling.py
@@ -59,7 +59,7 @@
     told: Outcome | None = None
     retries = 0
     while True:
-        member = _choose(node, call, excluded)
+        member = _choose(node, call, rule, excluded)
         if member is None:
             return outcome_to_tell(NotRun(Reason.NO_TARGET, RETRY_AFTER_S), told)
         node.metrics.note_attempt(call.call_class, retries > 0)
@@ -74,16 +74,28 @@
         retries += 1
 
 
-def _choose(node: Node, call: Call, excluded: frozenset[InstanceId]) -> Member | None:
-    now = node.timer.now()
-    choice = pick(node.view, node.scores, call.service, node.place, excluded, now, node.random)
+def _choose(
+    node: Node, call: Call, rule: CallRule, excluded: frozenset[InstanceId]
+) -> Member | None:
+    choice = _pick(node, call, rule, excluded)
     if choice is None and excluded:
-        choice = pick(
-            node.view, node.scores, call.service, node.place, frozenset(), now, node.random
-        )
+        return _pick(node, call, rule, frozenset())
     return choice
 
 
+def _pick(node: Node, call: Call, rule: CallRule, excluded: frozenset[InstanceId]) -> Member | None:
+    return pick(
+        node.view,
+        node.scores,
+        call.service,
+        node.place,
+        excluded,
+        node.timer.now(),
+        node.random,
+        may_probe=rule.idempotent,
+    )
+
+
 def _has_time(node: Node, call: Call) -> bool:
     return call.deadline - node.timer.now() > RETURN_MARGIN_S
 
