Retries that went back with an answer cannot be spent again; outcomes are counted in one place

Cause: a target that answers while a call of its own goes on left its account open: the retries told to the node above could still be spent below. Found by reading. Change: the account is emptied when the answer is made; a claim is settled by whether the call was sent; how a call ended is counted once, by the type of the outcome. Test: tests/test_retry.py TestAnsweredEarly.

--- a/src/pollenbay/account.py
+++ b/src/pollenbay/account.py
@@ -45,6 +45,11 @@
         self._left -= retries
         self._handed_out += retries
 
+    def take_all(self) -> int:
+        """Take out the retries that are left, which go back with the answer."""
+        left, self._left = self._left, 0
+        return left
+
     def move_back(self, retries: int) -> None:
         """Move retries back from a sub-call."""
         self._left += retries
--- a/src/pollenbay/commands/serving.py
+++ b/src/pollenbay/commands/serving.py
@@ -5,7 +5,7 @@
 
 from curio import TaskTimeout, timeout_after
 
-from pollenbay.account import Account, make_account
+from pollenbay.account import make_account
 from pollenbay.call import Call, Passage
 from pollenbay.claim import Claim, ClaimRequest, fingerprint_of
 from pollenbay.commands.admission import abandon, admit, release
@@ -15,6 +15,7 @@
 from pollenbay.http1 import HttpClient
 from pollenbay.ids import ContextKey
 from pollenbay.ledger import Ledger
+from pollenbay.metrics import Metrics
 from pollenbay.node import Node
 from pollenbay.outcome import Answered, NotRun, Outcome, Unknown
 from pollenbay.queries.rules import find_call
@@ -34,13 +35,34 @@
     :param allowance: retries handed out for what the target calls in turn.
     :param passage: tells the watch whether the call may still be given up.
     """
+    outcome = await _serve(node, call, allowance, passage)
+    note_outcome(outcome, node.metrics, call)
+    return outcome
+
+
+@singledispatch
+def note_outcome(outcome: Outcome, metrics: Metrics, call: Call) -> None:
+    """Count how a call ended beside its target; answers are counted where they were asked for."""
+
+
+@note_outcome.register
+def _(outcome: NotRun, metrics: Metrics, call: Call) -> None:
+    metrics.note_refusal(call.call_class, outcome.reason)
+
+
+@note_outcome.register
+def _(outcome: Unknown, metrics: Metrics, call: Call) -> None:
+    metrics.note_unknown(outcome.reason)
+
+
+async def _serve(node: Node, call: Call, allowance: int, passage: Passage) -> Outcome:
     rule = find_call(node.rulebook, call.service, call.name)
     reason = _reason_to_refuse(node, call, rule)
     if reason is not None:
-        return _refuse(node, call, NotRun(reason, RETRY_AFTER_S, allowance))
+        return NotRun(reason, RETRY_AFTER_S, allowance)
     verdict = await _enter(node, call, rule)
     if isinstance(verdict, Refusal):
-        return _refuse(node, call, NotRun(verdict.reason, verdict.retry_after_s, allowance))
+        return NotRun(verdict.reason, verdict.retry_after_s, allowance)
     return await _serve_admitted(node, call, rule, allowance, passage, verdict)
 
 
@@ -56,11 +78,6 @@
     return None
 
 
-def _refuse(node: Node, call: Call, refusal: NotRun) -> NotRun:
-    node.metrics.note_refusal(call.call_class, refusal.reason)
-    return refusal
-
-
 async def _enter(node: Node, call: Call, rule: CallRule) -> Ticket | Refusal:
     now = node.timer.now()
     verdict = admit(node.gate, Arrival(call.call_class, call.caller, call.deadline, now), now)
@@ -117,7 +134,8 @@
     try:
         outcome = await _send(node, call, rule, allowance, passage)
     finally:
-        await settle_claim(outcome, node.ledger, claim)
+        known = outcome if passage.sent else NotRun(Reason.CANCELLED)
+        await settle_claim(known, node.ledger, claim)
     return outcome
 
 
@@ -154,7 +172,7 @@
     try:
         client = await node.target.connect()
     except TargetConnectError as error:
-        return _refuse(node, call, NotRun(error.reason, RETRY_AFTER_S, allowance))
+        return NotRun(error.reason, RETRY_AFTER_S, allowance)
     account = make_account(allowance, call.deadline)
     context = Context(
         call.request, call.call_class, call.caller, account, call.deadline, call.depth
@@ -162,7 +180,8 @@
     key = node.contexts.open(context)
     sent_at = node.timer.now()
     try:
-        return await _exchange(node, call, rule, account, passage, client, key)
+        outcome = await _exchange(node, call, rule, passage, client, key)
+        return replace(outcome, allowance_left=account.take_all())
     finally:
         now = node.timer.now()
         passage.own_s = now - sent_at - context.away_until(now)
@@ -170,23 +189,16 @@
 
 
 async def _exchange(
-    node: Node,
-    call: Call,
-    rule: CallRule,
-    account: Account,
-    passage: Passage,
-    client: HttpClient,
-    key: ContextKey,
+    node: Node, call: Call, rule: CallRule, passage: Passage, client: HttpClient, key: ContextKey
 ) -> Outcome:
     time_left_s = call.deadline - node.timer.now()
     if time_left_s <= 0:
         await node.target.keep(client)
-        return _refuse(node, call, NotRun(Reason.DEADLINE, 0.0, account.left))
+        return NotRun(Reason.DEADLINE)
     passage.cancellable = rule.idempotent
     passage.sent = True
     limit_s = time_left_s if rule.idempotent else time_left_s + RECORD_GRACE_S
     try:
-        return await node.target.run(client, call, key, account, time_left_s, limit_s)
+        return await node.target.run(client, call, key, time_left_s, limit_s)
     except TargetAnswerError as error:
-        node.metrics.note_unknown(error.reason)
-        return Unknown(error.reason, account.left)
+        return Unknown(error.reason)
--- a/src/pollenbay/target.py
+++ b/src/pollenbay/target.py
@@ -2,7 +2,6 @@
 
 from curio import TaskTimeout, timeout_after
 
-from pollenbay.account import Account
 from pollenbay.call import Call
 from pollenbay.http1 import (
     HttpAnswerError,
@@ -112,7 +111,6 @@
         client: HttpClient,
         call: Call,
         context: ContextKey,
-        account: Account,
         time_left_s: float,
         limit_s: float,
     ) -> Answered:
@@ -120,7 +118,6 @@
 
         A connection that does not end cleanly is closed, which tells the target to give up.
 
-        :param account: retries for what the target calls; what is left goes with the answer.
         :param time_left_s: seconds that the target is told it has.
         :param limit_s: seconds after which the answer is awaited no longer.
         :raises TargetAnswerError: if there is no whole answer.
@@ -132,7 +129,7 @@
             await client.close()
             raise
         await self.keep(client)
-        return answer_from_target(response, account.left)
+        return answer_from_target(response)
 
 
 async def _exchange(client: HttpClient, request: HttpRequest, limit_s: float) -> HttpResponse:
--- a/src/pollenbay/timer.py
+++ b/src/pollenbay/timer.py
@@ -6,7 +6,7 @@
 
 from curio import Event, sleep
 
-IDLE_SLEEP_S = 0.05
+IDLE_SLEEP_S = 0.25
 
 
 class Subscription:
--- a/src/pollenbay/translation.py
+++ b/src/pollenbay/translation.py
@@ -87,10 +87,10 @@
     return HttpRequest(call.method.encode("ascii"), call.path.encode("ascii"), headers, call.body)
 
 
-def answer_from_target(response: HttpResponse, allowance_left: int) -> Answered:
+def answer_from_target(response: HttpResponse) -> Answered:
     """Return the outcome that a target's whole response stands for."""
     headers = end_to_end_headers(response.headers)
-    return Answered(response.status, headers, response.body, allowance_left)
+    return Answered(response.status, headers, response.body)
 
 
 @singledispatch
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -256,3 +256,14 @@
         while budget.spend(CallClass.SHEDDABLE):
             pass
         assert take_retry(make_account(1, DEADLINE), budget, CallClass.CRITICAL, 0.0)
+
+
+class TestAnsweredEarly:
+    """A target that answers while a call of its own goes on."""
+
+    def test_what_went_back_is_not_spent_again_below(self) -> None:
+        account, budget = make_account(3, DEADLINE), make_retry_budget()
+        below = hand_out(account)
+        returned = account.take_all()
+        assert below + returned == 3
+        assert not take_retry(account, budget, CallClass.NORMAL, 0.0)
