--- a/Makefile
+++ b/Makefile
@@ -28,3 +28,7 @@
 
 demo: setup
 	PYTHON=$(VENV)/bin/python demo/run.sh $(DEPLOYMENT)
+
+# Both deployments against plain forwarders, one run after another, about 11 minutes.
+bench: setup
+	PYTHONPATH=src:bench $(VENV)/bin/python bench/deployments.py
