--- a/src/pollenbay/commands/admission.py
+++ b/src/pollenbay/commands/admission.py
@@ -57,7 +57,7 @@
         return []
     arrival = ticket.arrival
     rank = arrival.call_class.rank
-    gate.limit.observe(rank, latency_s, ok, ticket.admitted_at, gate.in_flight, now, own_s)
+    gate.limit.observe(rank, latency_s, ok, gate.in_flight, now, own_s)
     _give_up_slot(gate, ticket)
     return _grant(gate, now)
 
