Test of repeats: compare the repeat that was answered

A repeat is told "duplicate" until the first answer is in the table; the test waited until one repeat was answered, perhaps from the memory of the node that ran the call, and then sent another one, which could reach the other node before the row was written. Change: the repeat that was waited for is the one that is compared with the first answer.

--- a/tests/test_promise_once.py
+++ b/tests/test_promise_once.py
@@ -32,9 +32,14 @@
     return ask(cluster[name].callers, marker, "/stock/book", "POST", "mill", key)
 
 
-def wait_until_repeated(cluster: Cluster, name: str, key: str) -> None:
-    """Wait until a node answers a repeat."""
-    wait_until(lambda: book(cluster, name, key).answered, SETTLED_WITHIN_S)
+def wait_until_repeated(cluster: Cluster, name: str, key: str) -> Told:
+    """Wait until a node answers a repeat and return what it told."""
+
+    def repeat() -> Told | None:
+        told = book(cluster, name, key)
+        return told if told.answered else None
+
+    return wait_until(repeat, SETTLED_WITHIN_S)
 
 
 class TestRepeats:
@@ -87,8 +92,7 @@
             cluster = two_of_stock(processes)
             assert book(cluster, "stock-1", "k", "first").whole
             for name in ("stock-1", "stock-2"):
-                wait_until_repeated(cluster, name, "k")
-                again = book(cluster, name, "k", "again")
+                again = wait_until_repeated(cluster, name, "k")
                 assert again.answer is not None and again.answer.body == body_of("first")
             assert runs_of_key(cluster.targets, "k") == 1
 
