--- a/bench/deployments.py
+++ b/bench/deployments.py
@@ -29,7 +29,8 @@
 from table import Figures, format_figures
 from yaml import safe_dump
 
-from pollenbay.http1 import HttpRequest, connect_http
+from pollenbay.http1 import HttpRequest
+from pollenbay.httpclient import connect_http
 from pollenbay.queries.status import Status
 from standins.load import Load
 from standins.load_settings import LoadSettings, Phase, load_load_settings
--- a/bench/path.py
+++ b/bench/path.py
@@ -21,7 +21,8 @@
 from yaml import safe_dump
 
 from pollenbay.commands.publication import Publish, publish
-from pollenbay.http1 import HttpClient, HttpRequest, connect_http
+from pollenbay.http1 import HttpRequest
+from pollenbay.httpclient import HttpClient, connect_http
 from pollenbay.rule import CallRule, ServiceRule
 from pollenbay.states import CallClass
 from pollenbay.table import make_table
--- a/src/pollenbay/admin.py
+++ b/src/pollenbay/admin.py
@@ -8,13 +8,8 @@
 
 from pollenbay.commands.dispatch import execute
 from pollenbay.endpoint import BadRequestError, Kind, find_endpoint
-from pollenbay.http1 import (
-    HttpRequest,
-    HttpRequestError,
-    HttpResponse,
-    HttpServer,
-    header_value,
-)
+from pollenbay.http1 import HttpRequest, HttpRequestError, HttpResponse, header_value
+from pollenbay.httpserver import HttpServer
 from pollenbay.node import Node
 from pollenbay.queries.dispatch import answer
 from pollenbay.reply import TokenMissing, make_reply
--- a/src/pollenbay/adminclient.py
+++ b/src/pollenbay/adminclient.py
@@ -10,13 +10,8 @@
 from msgspec.json import decode, encode
 from result import Err, Ok, Result
 
-from pollenbay.http1 import (
-    HttpConnectError,
-    HttpError,
-    HttpRequest,
-    HttpResponse,
-    connect_http,
-)
+from pollenbay.http1 import HttpConnectError, HttpError, HttpRequest, HttpResponse
+from pollenbay.httpclient import connect_http
 from pollenbay.reply import Problem
 
 ANSWER_TIMEOUT_S = 30.0
--- a/src/pollenbay/callers.py
+++ b/src/pollenbay/callers.py
@@ -12,7 +12,8 @@
 from pollenbay.call import Asked, Passage
 from pollenbay.commands.announcing import hear_target
 from pollenbay.commands.entry import enter_from_caller, enter_from_target
-from pollenbay.http1 import HttpRequest, HttpRequestError, HttpResponse, HttpServer
+from pollenbay.http1 import HttpRequest, HttpRequestError, HttpResponse
+from pollenbay.httpserver import HttpServer
 from pollenbay.ids import CallerId
 from pollenbay.metrics import ANSWERED, NOT_RUN, UNKNOWN
 from pollenbay.node import Node
--- a/src/pollenbay/commands/serving.py
+++ b/src/pollenbay/commands/serving.py
@@ -12,7 +12,7 @@
 from pollenbay.commands.claim import abandon_claim, record_answer, release_claim, take_claim
 from pollenbay.contexts import Context
 from pollenbay.gate import Arrival, Refusal, Ticket, Waiter
-from pollenbay.http1 import HttpClient
+from pollenbay.httpclient import HttpClient
 from pollenbay.ids import ContextKey
 from pollenbay.ledger import Ledger
 from pollenbay.metrics import Metrics
--- /dev/null
+++ b/src/pollenbay/httpclient.py
@@ -0,0 +1,140 @@
+"""The client's end of an HTTP/1.1 connection: whole requests out, whole responses in."""
+
+from collections.abc import Iterable
+
+import h11
+from curio.io import Socket
+
+from pollenbay.http1 import (
+    BODY_LIMIT_BYTES,
+    HEADER_LIMIT_BYTES,
+    RECEIVE_BYTES,
+    STATUSES_WITHOUT_BODY,
+    HttpAnswerError,
+    HttpBodyError,
+    HttpConnectError,
+    HttpExchangeError,
+    HttpRequest,
+    HttpResponse,
+    collect_body,
+)
+from pollenbay.outcome import Headers
+from pollenbay.stream import StreamConnectError, open_stream, peer_has_spoken
+
+
+class HttpClient:
+    """The client's end of one kept connection, for one exchange at a time.
+
+    :param sock: a connected socket.
+    :param body_limit_bytes: longest response body that is taken.
+    """
+
+    def __init__(self, sock: Socket, body_limit_bytes: int = BODY_LIMIT_BYTES) -> None:
+        self._sock = sock
+        self._body_limit_bytes = body_limit_bytes
+        self._conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEADER_LIMIT_BYTES)
+
+    @property
+    def sock(self) -> Socket:
+        """Return the socket."""
+        return self._sock
+
+    @property
+    def reusable(self) -> bool:
+        """Tell whether another exchange can follow on this connection.
+
+        Bytes past the end of a response would be taken for the response to the next request.
+        """
+        idle = self._conn.our_state is h11.IDLE and self._conn.their_state is h11.IDLE
+        return idle and not self._conn.trailing_data[0]
+
+    @property
+    def stale(self) -> bool:
+        """Tell whether the server has closed the connection or sent an unasked answer."""
+        return peer_has_spoken(self._sock)
+
+    async def exchange(self, request: HttpRequest) -> HttpResponse:
+        """Send a request and return the whole response.
+
+        :raises HttpExchangeError: if the connection broke.
+        :raises HttpAnswerError: if the response is not whole and correct.
+        """
+        data = self._encode(request)
+        try:
+            await self._sock.sendall(data)
+            response = await self._read_response(request.method)
+        except OSError as error:
+            raise HttpExchangeError(str(error)) from error
+        self._finish_cycle()
+        return response
+
+    async def close(self) -> None:
+        """Close the socket."""
+        await self._sock.close()
+
+    def _encode(self, request: HttpRequest) -> bytes:
+        headers = list(request.headers)
+        if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
+            headers.append((b"content-length", b"%d" % len(request.body)))
+        head = h11.Request(method=request.method, target=request.target, headers=headers)
+        parts = [self._conn.send(head)]
+        if request.body:
+            parts.append(self._conn.send(h11.Data(data=request.body)))
+        parts.append(self._conn.send(h11.EndOfMessage()))
+        return b"".join(part for part in parts if part)
+
+    async def _read_response(self, method: bytes) -> HttpResponse:
+        head = await self._next_event()
+        while isinstance(head, h11.InformationalResponse):
+            head = await self._next_event()
+        if not isinstance(head, h11.Response):
+            raise HttpExchangeError("closed before an answer")
+        headers = list(head.headers)
+        _require_length(method, head.status_code, headers)
+        body = await self._read_body()
+        return HttpResponse(head.status_code, headers, body)
+
+    async def _read_body(self) -> bytes:
+        try:
+            return await collect_body(self._next_event, self._body_limit_bytes)
+        except HttpBodyError as error:
+            raise HttpAnswerError(str(error)) from error
+
+    async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
+        while True:
+            try:
+                event = self._conn.next_event()
+            except h11.RemoteProtocolError as error:
+                raise HttpAnswerError(str(error)) from error
+            if event is not h11.NEED_DATA:
+                return event
+            self._conn.receive_data(await self._sock.recv(RECEIVE_BYTES))
+
+    def _finish_cycle(self) -> None:
+        if self._conn.our_state is h11.DONE and self._conn.their_state is h11.DONE:
+            self._conn.start_next_cycle()
+
+
+async def connect_http(
+    address: str, port: int, body_limit_bytes: int = BODY_LIMIT_BYTES
+) -> HttpClient:
+    """Open a connection to an HTTP server.
+
+    :raises HttpConnectError: if none can be opened.
+    """
+    try:
+        sock = await open_stream(address, port)
+    except StreamConnectError as error:
+        raise HttpConnectError(str(error)) from error
+    return HttpClient(sock, body_limit_bytes)
+
+
+def _require_length(method: bytes, status: int, headers: Headers) -> None:
+    if method == b"HEAD" or status in STATUSES_WITHOUT_BODY:
+        return
+    if not _has_length(name for name, _ in headers):
+        raise HttpAnswerError("the answer has no stated length, so a part looks like the whole")
+
+
+def _has_length(names: Iterable[bytes]) -> bool:
+    return any(name in (b"content-length", b"transfer-encoding") for name in names)
--- a/src/pollenbay/table.py
+++ b/src/pollenbay/table.py
@@ -11,14 +11,8 @@
 from msgspec.json import decode, encode
 from result import Err, Ok, Result
 
-from pollenbay.http1 import (
-    HttpClient,
-    HttpConnectError,
-    HttpError,
-    HttpRequest,
-    HttpResponse,
-    connect_http,
-)
+from pollenbay.http1 import HttpConnectError, HttpError, HttpRequest, HttpResponse
+from pollenbay.httpclient import HttpClient, connect_http
 from pollenbay.ids import RowKey, RowVersion
 
 TABLE_TIMEOUT_S = 2.0
--- a/src/pollenbay/target.py
+++ b/src/pollenbay/target.py
@@ -5,13 +5,12 @@
 from pollenbay.call import Call
 from pollenbay.http1 import (
     HttpAnswerError,
-    HttpClient,
     HttpConnectError,
     HttpExchangeError,
     HttpRequest,
     HttpResponse,
-    connect_http,
 )
+from pollenbay.httpclient import HttpClient, connect_http
 from pollenbay.ids import ContextKey
 from pollenbay.outcome import Answered
 from pollenbay.states import Reason, TargetState
--- a/src/standins/caller.py
+++ b/src/standins/caller.py
@@ -9,7 +9,8 @@
 from curio import run
 from msgspec.json import decode, encode
 
-from pollenbay.http1 import HttpRequest, connect_http
+from pollenbay.http1 import HttpRequest
+from pollenbay.httpclient import connect_http
 from standins.listener import LISTEN_ADDRESS
 from standins.load import Load
 from standins.load_settings import LoadSettings, load_load_settings
--- a/src/standins/listener.py
+++ b/src/standins/listener.py
@@ -6,7 +6,8 @@
 from msgspec import Struct
 from msgspec.json import encode
 
-from pollenbay.http1 import HttpRequest, HttpRequestError, HttpResponse, HttpServer
+from pollenbay.http1 import HttpRequest, HttpRequestError, HttpResponse
+from pollenbay.httpserver import HttpServer
 from pollenbay.outcome import Headers
 from pollenbay.stream import accept_streams
 
--- a/src/standins/pool.py
+++ b/src/standins/pool.py
@@ -1,6 +1,7 @@
 """Kept HTTP connections to one server."""
 
-from pollenbay.http1 import HttpClient, HttpRequest, HttpResponse, connect_http
+from pollenbay.http1 import HttpRequest, HttpResponse
+from pollenbay.httpclient import HttpClient, connect_http
 from pollenbay.stream import peer_has_closed
 
 
--- a/src/standins/target.py
+++ b/src/standins/target.py
@@ -28,7 +28,8 @@
 from msgspec.structs import replace
 
 from pollenbay.announcement import ANNOUNCE_PERIOD_S
-from pollenbay.http1 import HttpRequest, HttpResponse, HttpServer, header_value
+from pollenbay.http1 import HttpRequest, HttpResponse, header_value
+from pollenbay.httpserver import HttpServer
 from pollenbay.ids import CallName
 from pollenbay.stream import accept_streams, listen, port_of
 from pollenbay.timer import make_timer
--- a/tests/test_adminclient.py
+++ b/tests/test_adminclient.py
@@ -18,7 +18,8 @@
     make_admin_client,
 )
 from pollenbay.commands.publication import Publish
-from pollenbay.http1 import HttpResponse, HttpServer
+from pollenbay.http1 import HttpResponse
+from pollenbay.httpserver import HttpServer
 from pollenbay.ids import PublicationId
 from pollenbay.printout import ExitCode, exit_code
 from pollenbay.publication import Accepted, NotWritten, Refused, Unsettled
