--- a/src/pollenbay/commands/calling.py
+++ b/src/pollenbay/commands/calling.py
@@ -8,8 +8,21 @@
 from pollenbay.commands.routing import begin_attempt, end_attempt, pick
 from pollenbay.commands.serving import serve
 from pollenbay.ids import InstanceId, make_call_id
-from pollenbay.link import Link, LinkBrokenError, LinkConnectError, LinkMessageError
-from pollenbay.message import CallMessage, ProgressMessage, make_call_message, outcome_of
+from pollenbay.link import (
+    Link,
+    LinkBrokenError,
+    LinkConnectError,
+    LinkError,
+    LinkMessageError,
+    LinkSilentError,
+)
+from pollenbay.message import (
+    AnyLinkMessage,
+    CallMessage,
+    ProgressMessage,
+    make_call_message,
+    outcome_of,
+)
 from pollenbay.node import Node
 from pollenbay.outcome import Answered, NotRun, Outcome, Unknown
 from pollenbay.queries.pressure import refuse_at_entry
@@ -168,52 +181,52 @@
         return NotRun(Reason.CONNECT_FAILED, RETRY_AFTER_S, allowance)
     message = make_call_message(call, make_call_id(), _link_time_s(node, call), allowance)
     try:
-        outcome = await _exchange(node, call, rule, link, message)
-    except BaseException:
-        await link.close()
-        raise
-    if outcome is None:
+        outcome = await _ask(node, call, rule, link, message)
+    except LinkError as error:
         await link.close()
         await node.links.distrust(address, port)
-        node.metrics.note_unknown(Reason.CONNECTION_LOST)
-        return Unknown(Reason.CONNECTION_LOST)
-    if isinstance(outcome, Unknown) and outcome.reason is Reason.CONNECTION_SILENT:
+        return _unknown(node, error)
+    except BaseException:
         await link.close()
-        await node.links.distrust(address, port)
-        node.metrics.note_unknown(outcome.reason)
-        return outcome
+        raise
     await node.links.give(address, port, link, node.timer.now())
     return outcome
 
 
+def _unknown(node: Node, error: LinkError) -> Unknown:
+    if isinstance(error, LinkMessageError):
+        node.metrics.note_bad_input("link")
+    silent = isinstance(error, LinkSilentError)
+    reason = Reason.CONNECTION_SILENT if silent else Reason.CONNECTION_LOST
+    node.metrics.note_unknown(reason)
+    return Unknown(reason)
+
+
 def _link_time_s(node: Node, call: Call) -> float:
     return max(call.deadline - node.timer.now() - RETURN_MARGIN_S, 0.0)
 
 
-async def _exchange(
-    node: Node, call: Call, rule: CallRule, link: Link, message: CallMessage
-) -> Outcome | None:
-    """Return the outcome, or None if the link broke."""
-    try:
-        await link.send(message)
-        return await _await_reply(node, call, rule, link, message)
-    except TaskTimeout:
-        return Unknown(Reason.CONNECTION_SILENT)
-    except LinkBrokenError:
-        return None
-    except LinkMessageError:
-        node.metrics.note_bad_input("link")
-        return None
-
+async def _ask(node: Node, call: Call, rule: CallRule, link: Link, message: CallMessage) -> Outcome:
+    """Send a call on a link and return its outcome.
 
-async def _await_reply(
-    node: Node, call: Call, rule: CallRule, link: Link, message: CallMessage
-) -> Outcome | None:
+    :raises LinkError: if the link broke, went silent or brought something else.
+    """
+    await link.send(message)
     while True:
-        time_left_s = call.deadline - node.timer.now()
-        limit_s = min(time_left_s, SILENCE_LIMIT_S) if rule.idempotent else time_left_s
-        reply = await timeout_after(max(limit_s, 0.0), link.receive)
-        if reply is None or reply.call_id != message.call_id:
-            return None
+        reply = await _receive(node, call, rule, link)
+        if reply.call_id != message.call_id or isinstance(reply, CallMessage):
+            raise LinkMessageError("not a reply to this call")
         if not isinstance(reply, ProgressMessage):
             return outcome_of(reply)
+
+
+async def _receive(node: Node, call: Call, rule: CallRule, link: Link) -> AnyLinkMessage:
+    time_left_s = call.deadline - node.timer.now()
+    limit_s = min(time_left_s, SILENCE_LIMIT_S) if rule.idempotent else time_left_s
+    try:
+        reply = await timeout_after(max(limit_s, 0.0), link.receive)
+    except TaskTimeout as error:
+        raise LinkSilentError(f"nothing for {limit_s:.1f} s") from error
+    if reply is None:
+        raise LinkBrokenError("closed before the reply")
+    return reply
--- a/src/pollenbay/link.py
+++ b/src/pollenbay/link.py
@@ -35,6 +35,10 @@
     """The connection closed or broke after bytes may have been sent."""
 
 
+class LinkSilentError(LinkError):
+    """The connection is open and nothing comes, not even progress."""
+
+
 class LinkMessageError(LinkError):
     """What arrived is not a message of a link."""
 
