A second signal ends a node early with the outcomes stated

Change: calls in progress end with unknown if a target may have seen them, else with not-run. Test: TestSecondSignal, red without it (all callers 'lost'), green with it.

--- a/src/pollenbay/callers.py
+++ b/src/pollenbay/callers.py
@@ -26,7 +26,7 @@
     response_of,
     response_to_bad_request,
 )
-from pollenbay.watch import Watched
+from pollenbay.watch import Watched, outcome_or_end
 
 #: A connection that always has a next request lets the other tasks run after so many.
 REQUESTS_PER_TURN = 8
@@ -112,7 +112,8 @@
         return _refuse_bad(node, Source.CALLERS)
     passage = Passage()
     with node.watch.over(Watched(sock, await current_task(), passage)):
-        outcome = await enter_from_caller(node, asked, origin, passage)
+        work = enter_from_caller(node, asked, origin, passage)
+        outcome = await outcome_or_end(passage, work)
     _note_call(node, asked, asked.caller or origin, outcome, node.timer.now() - started_at)
     return response_of(outcome)
 
@@ -126,7 +127,7 @@
         return _refuse_bad(node, Source.OUTBOUND)
     passage = Passage()
     with node.watch.over(Watched(sock, await current_task(), passage)):
-        outcome = await enter_from_target(node, asked, passage)
+        outcome = await outcome_or_end(passage, enter_from_target(node, asked, passage))
     return response_of(outcome)
 
 
--- a/src/pollenbay/commands/calling.py
+++ b/src/pollenbay/commands/calling.py
@@ -148,7 +148,7 @@
     node: Node, call: Call, rule: CallRule, allowance: int, passage: Passage, member: Member
 ) -> Outcome:
     if member.instance != node.settings.instance:
-        return await _forward(node, call, rule, allowance, member)
+        return await _forward(node, call, rule, allowance, passage, member)
     if rule.idempotent:
         return await serve(node, call, allowance, passage)
     return await _serve_to_the_end(node, call, allowance, passage)
@@ -168,11 +168,11 @@
 
 async def _end_unless_sent(task: Task, passage: Passage) -> None:
     if passage.cancellable:
-        await task.cancel(blocking=False)
+        await task.cancel()
 
 
 async def _forward(
-    node: Node, call: Call, rule: CallRule, allowance: int, member: Member
+    node: Node, call: Call, rule: CallRule, allowance: int, passage: Passage, member: Member
 ) -> Outcome:
     address, port = member.endpoints.address, member.endpoints.link_port
     try:
@@ -180,6 +180,7 @@
     except LinkConnectError:
         return NotRun(Reason.CONNECT_FAILED, RETRY_AFTER_S, allowance)
     message = make_call_message(call, make_call_id(), _link_time_s(node, call), allowance)
+    passage.sent = True
     try:
         outcome = await _ask(node, call, rule, link, message)
     except LinkError as error:
--- a/src/pollenbay/daemon.py
+++ b/src/pollenbay/daemon.py
@@ -9,7 +9,7 @@
 from sys import exit
 
 import click
-from curio import Event, TaskGroup, run
+from curio import Event, TaskGroup, run, sleep
 from curio.io import Socket
 from msgspec import Struct
 from msgspec.json import encode
@@ -19,7 +19,7 @@
 from pollenbay.callers import make_callers, serve_target
 from pollenbay.commands.adoption import adopt
 from pollenbay.commands.gossiping import run_membership
-from pollenbay.commands.life import drain
+from pollenbay.commands.life import LINGER_S, drain
 from pollenbay.commands.sweep import run_sweeper
 from pollenbay.commands.upkeep import keep_up
 from pollenbay.linking import serve_link
@@ -156,6 +156,8 @@
 async def _end_early(node: Node, asked: StopSignals) -> int:
     await asked.wait()
     LOG.warning("stop without waiting", extra={"in_progress": node.watch.in_progress})
+    await node.watch.end_all()
+    await sleep(LINGER_S)
     return EXIT_CUT_SHORT
 
 
--- a/src/pollenbay/linking.py
+++ b/src/pollenbay/linking.py
@@ -8,7 +8,7 @@
 from pollenbay.link import Link, LinkBrokenError, LinkMessageError
 from pollenbay.message import AnyLinkMessage, CallMessage, ReplyMessage, make_call, reply_to
 from pollenbay.node import Node
-from pollenbay.watch import Watched
+from pollenbay.watch import Watched, outcome_or_end
 
 SOURCE = "link"
 CALLS_PER_TURN = 8
@@ -46,5 +46,6 @@
     passage = Passage()
     watched = Watched(link.sock, await current_task(), passage, link, message.call_id)
     with node.watch.over(watched):
-        outcome = await serve(node, call, message.allowance, passage)
+        work = serve(node, call, message.allowance, passage)
+        outcome = await outcome_or_end(passage, work)
     return reply_to(outcome, message.call_id)
--- a/src/pollenbay/watch.py
+++ b/src/pollenbay/watch.py
@@ -1,22 +1,28 @@
 """Watches over calls that take long: tells peers that they go on, and ends what nobody awaits."""
 
-from collections.abc import Iterator
+from collections.abc import Awaitable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 from select import poll
 
-from curio import Task
+from curio import Task, TaskCancelled
 from curio.io import Socket
 
 from pollenbay.call import Passage
 from pollenbay.ids import CallId
 from pollenbay.link import Link
+from pollenbay.outcome import NotRun, Outcome, Unknown
+from pollenbay.states import Reason
 from pollenbay.stream import CLOSED_EVENTS
 from pollenbay.timer import Timer
 
 WATCH_PERIOD_S = 0.25
 
 
+class EndedEarly(TaskCancelled):
+    """The node ends without waiting for the calls in progress."""
+
+
 @dataclass(slots=True)
 class Watched:
     """A call in progress and the connection on which its answer is awaited.
@@ -58,6 +64,11 @@
         finally:
             del self._watched[descriptor]
 
+    async def end_all(self) -> None:
+        """End all calls in progress; whoever awaits them is told by `outcome_or_end`."""
+        for watched in list(self._watched.values()):
+            await watched.task.cancel(exc=EndedEarly, blocking=False)
+
     async def run(self, timer: Timer) -> None:
         """Look after all calls in progress once in each period, until cancelled."""
         subscription = timer.subscribe(WATCH_PERIOD_S)
@@ -82,6 +93,16 @@
                 watched.link.send_progress(watched.call_id)
 
 
+async def outcome_or_end(passage: Passage, work: Awaitable[Outcome]) -> Outcome:
+    """Return the outcome of a call, also if the node ends early meanwhile."""
+    try:
+        return await work
+    except EndedEarly:
+        if passage.sent or not passage.cancellable:
+            return Unknown(Reason.CANCELLED)
+        return NotRun(Reason.DRAINING)
+
+
 def make_watch() -> Watch:
     """Return a watch over nothing yet."""
     return Watch()
--- a/tests/test_promise_stop.py
+++ b/tests/test_promise_stop.py
@@ -151,3 +151,29 @@
 def _holder_and_other(cluster: Cluster) -> tuple[str, str]:
     first, second = cluster.instances
     return (first, second) if run_log(cluster[first].target)["runs"] else (second, first)
+
+
+class TestSecondSignal:
+    """A second signal ends a node early, and callers are told the outcomes."""
+
+    def test_running_is_unknown_and_queued_is_not_run(self, tmp_path: Path) -> None:
+        with Processes(tmp_path) as processes, ThreadPoolExecutor(8) as pool:
+            cluster = two_of_stock(processes)
+            serve_only_at(cluster, "stock-1")
+            control(cluster["stock-1"].target, service_time_factor=SLOW_FACTOR)
+            port = cluster["stock-1"].callers
+            asked = [
+                pool.submit(ask, port, f"m{number}", "/stock/book", "POST", f"c{number}", None)
+                for number in range(8)
+            ]
+            wait_until(lambda: len(run_log(cluster["stock-1"].target)["runs"]) >= 4, 5.0)
+            sleep(0.3)
+            cluster["stock-1"].node.terminate()
+            sleep(0.5)
+            cluster["stock-1"].node.terminate()
+            assert cluster["stock-1"].node.wait(5) == 1
+            told = [each.result() for each in asked]
+            ran = {run["marker"] for run in run_log(cluster["stock-1"].target)["runs"]}
+            outcomes = {each.marker: each.outcome for each in told}
+            assert set(outcomes.values()) == {"unknown", "not-run"}
+            assert {marker for marker in outcomes if outcomes[marker] == "unknown"} == ran
