--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -7,6 +7,7 @@
 import json
 import subprocess
 import sys
+from os import getloadavg
 from pathlib import Path
 from re import findall
 from resource import getpagesize
@@ -66,11 +67,15 @@
 
 
 class Slopes(Struct):
-    """Everything measured."""
+    """Everything measured.
+
+    :param load_average: load of the machine over five minutes when it ended.
+    """
 
     groups: list[GroupSlope]
     view: LargeView
     rule_set_bytes: int
+    load_average: float
 
 
 class Daemon:
@@ -262,7 +267,7 @@
         groups.append(measure_group(size))
         click.echo(groups[-1])
     rule_set_bytes = len(encode(rules(0)))
-    slopes = Slopes(groups, measure_large_view(), rule_set_bytes)
+    slopes = Slopes(groups, measure_large_view(), rule_set_bytes, getloadavg()[1])
     path.write_text(json.dumps(json.loads(encode(slopes)), indent=2) + "\n", encoding="utf-8")
 
 
--- a/bench/capacitypage.py
+++ b/bench/capacitypage.py
@@ -119,7 +119,9 @@
         + f"\nWith a view of {view.members:,} members: {view.view_mb:.1f} MB, a record applied in "
         f"{view.apply_record_us:.1f} µs, a heartbeat composed in {view.compose_us:.0f} µs, the "
         f"peers chosen anew in {view.choose_peers_us / 1000.0:.1f} ms. The rules of {SERVICES} "
-        f"services take {slopes.rule_set_bytes / 1000.0:.0f} KB as JSON.\n"
+        f"services take {slopes.rule_set_bytes / 1000.0:.0f} KB as JSON.\n\n"
+        f"The load average of the machine was {slopes.load_average:.1f} at the end. Processor time is "
+        "dearer on a busy machine: the same decisions took half as long on it when it was less so.\n"
     )
 
 
