Remove a dead twin of the loop that wakes all peers; work out a latency once

push_all in commands/peering stood unused beside the same loop in pulling.adopt_rules, and serving worked out the latency of a call twice. Behaviour is the same. Lint is clean; the tests of the path, retries, outcomes, peers, heartbeats, rule differences, rollout and rules in force pass (57 and 36). The whole suite was not run again.

--- a/src/pollenbay/commands/peering.py
+++ b/src/pollenbay/commands/peering.py
@@ -112,12 +112,6 @@
             await ticks.fire()
 
 
-async def push_all(membership: Membership) -> None:
-    """Wake the tasks of all peers."""
-    for ticks in list(membership.ticks.values()):
-        await ticks.fire()
-
-
 async def run_peer(membership: Membership, instance: InstanceId, incarnation: Incarnation) -> None:
     """Exchange heartbeats with one run of a peer for as long as it is chosen."""
     endpoints = membership.view.members[instance].endpoints
--- a/src/pollenbay/commands/serving.py
+++ b/src/pollenbay/commands/serving.py
@@ -114,8 +114,8 @@
         return outcome
     finally:
         now = node.timer.now()
-        node.metrics.note_target(call.call_class, now - started_at)
         latency_s = now - started_at
+        node.metrics.note_target(call.call_class, latency_s)
         await wake(release(node.gate, ticket, latency_s, sound, now, passage.own_s))
 
 
