--- a/src/pollenbay/account.py
+++ b/src/pollenbay/account.py
@@ -11,10 +11,12 @@
 
     :param retries: what was granted at the entry, or handed out by the call above.
     :param deadline: monotonic seconds after which no retry is begun.
+    :param refusals: attempts after a refusal that cost no retry.
     """
 
-    def __init__(self, retries: int, deadline: float) -> None:
+    def __init__(self, retries: int, deadline: float, refusals: int = 0) -> None:
         self._left = max(retries, 0)
+        self._refusals = refusals
         self._deadline = deadline
         self._handed_out = 0
 
@@ -40,6 +42,13 @@
         self._left -= 1
         return True
 
+    def spend_refusal(self) -> bool:
+        """Use up one attempt that follows a refusal, if there is one."""
+        if not self._refusals:
+            return False
+        self._refusals -= 1
+        return True
+
     def move_out(self, retries: int) -> None:
         """Move retries to a sub-call."""
         self._left -= retries
@@ -56,9 +65,11 @@
         self._handed_out -= retries
 
 
-def make_account(retries: int, deadline: float) -> Account:
+def make_account(retries: int, deadline: float, refusals: int = 0) -> Account:
     """Return the account of one call.
 
     A call that a target made without the context of the call it serves gets 0 retries.
+
+    :param refusals: attempts after a refusal that cost no retry.
     """
-    return Account(retries, deadline)
+    return Account(retries, deadline, refusals)
--- /dev/null
+++ b/src/pollenbay/adapter.py
@@ -0,0 +1,42 @@
+"""What a deployment brings to a node: its table, how its targets are spoken to, and its terms."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+from pollenbay.budget import DEFAULT_TERMS, RetryTerms
+from pollenbay.commands.pulling import run_polls
+from pollenbay.dialect import TargetDialect
+from pollenbay.membership import Membership
+from pollenbay.settings import TableSettings
+from pollenbay.table import Table, make_table
+from pollenbay.translation import make_plain_dialect
+
+
+@dataclass(frozen=True, slots=True)
+class Adapter:
+    """The parts of a node that differ between deployments.
+
+    :param retry_terms: how retries are earned.
+    :param budget_by_service: whether retries of each service are counted apart.
+    :param adaptive_limit: whether the concurrency limit is searched for, or is the target's slots.
+    :param run_rules: task that watches for newer rules.
+    """
+
+    table: Table
+    dialect: TargetDialect
+    retry_terms: RetryTerms
+    budget_by_service: bool
+    adaptive_limit: bool
+    run_rules: Callable[[Membership], Awaitable[None]]
+
+
+def make_plain_adapter(settings: TableSettings) -> Adapter:
+    """Return the adapter for this project's own interfaces."""
+    return Adapter(
+        table=make_table(settings.address, settings.port, settings.timeout_s),
+        dialect=make_plain_dialect(),
+        retry_terms=DEFAULT_TERMS,
+        budget_by_service=False,
+        adaptive_limit=True,
+        run_rules=run_polls,
+    )
--- a/src/pollenbay/announcement.py
+++ b/src/pollenbay/announcement.py
@@ -2,7 +2,7 @@
 
 from msgspec import Struct
 
-from pollenbay.ids import ServiceName
+from pollenbay.ids import ServiceName, TargetId
 from pollenbay.states import TargetState
 
 ANNOUNCE_PATH = "/pollenbay/announce"
@@ -16,6 +16,7 @@
     :param slots: calls that it can run at once.
     :param in_flight: calls that it says it is running.
     :param reported_load: load that it reports, as a share of its slots.
+    :param target: how this run of the target names itself, if it does.
     """
 
     service: ServiceName
@@ -25,3 +26,4 @@
     state: TargetState
     in_flight: int = 0
     reported_load: float = 0.0
+    target: TargetId = TargetId("")
--- a/src/pollenbay/call.py
+++ b/src/pollenbay/call.py
@@ -43,6 +43,24 @@
     wait_s: float | None = None
 
 
+@dataclass(slots=True)
+class RouteAsked:
+    """What a caller or a target asks for by host name and path, before a route is found.
+
+    :param request: name of the request; each attempt of its caller has one of its own.
+    :param path: path and query as the target gets it.
+    :param wait_s: longest time in seconds that the caller waits, if it says so.
+    """
+
+    request: RequestId
+    host: str
+    method: str
+    path: str
+    headers: Headers
+    body: bytes
+    wait_s: float | None = None
+
+
 @dataclass(slots=True)
 class Call:
     """A call on its way.
@@ -51,6 +69,9 @@
     :param call_class: class of that request, which holds for all calls of its chain.
     :param path: path and query as the target gets it.
     :param deadline: monotonic seconds by which the answer must be with its caller.
+    :param idempotent: whether running it twice does no harm.
+    :param has_calls: whether its rule names calls that it makes in turn.
+    :param origin: service of the target beside the node at which it entered.
     """
 
     request: RequestId
@@ -65,6 +86,9 @@
     deadline: float
     idempotency_key: IdempotencyKey | None = None
     depth: int = 0
+    idempotent: bool = True
+    has_calls: bool = False
+    origin: ServiceName = ServiceName("")
 
 
 @dataclass(slots=True)
--- a/src/pollenbay/callers.py
+++ b/src/pollenbay/callers.py
@@ -60,7 +60,7 @@
             return
         self._connections += 1
         try:
-            await _serve_requests(node, sock, Source.CALLERS, _respond_to_caller)
+            await serve_requests(node, sock, Source.CALLERS.value, _respond_to_caller)
         finally:
             self._connections -= 1
 
@@ -72,10 +72,14 @@
 
 async def serve_target(node: Node, sock: Socket) -> None:
     """Serve one connection of the target beside this node until it closes."""
-    await _serve_requests(node, sock, Source.OUTBOUND, _respond_to_target)
+    await serve_requests(node, sock, Source.OUTBOUND.value, _respond_to_target)
 
 
-async def _serve_requests(node: Node, sock: Socket, source: Source, respond: Respond) -> None:
+async def serve_requests(node: Node, sock: Socket, source: str, respond: Respond) -> None:
+    """Answer the requests of one connection in order until it closes.
+
+    :param source: name under which bad input is counted.
+    """
     server = HttpServer(sock, node.settings.limits.body_bytes)
     served = 0
     while True:
@@ -92,13 +96,13 @@
             await sleep(0)
 
 
-async def _read_request(node: Node, server: HttpServer, source: Source) -> HttpRequest | None:
+async def _read_request(node: Node, server: HttpServer, source: str) -> HttpRequest | None:
     try:
         return await timeout_after(node.settings.limits.caller_idle_s, server.read_request)
     except TaskTimeout:
         return None
     except HttpRequestError as error:
-        node.metrics.note_bad_input(source.value)
+        node.metrics.note_bad_input(source)
         await server.write_failure(response_to_bad_request(error.status))
         return None
 
--- a/src/pollenbay/commands/adoption.py
+++ b/src/pollenbay/commands/adoption.py
@@ -76,6 +76,6 @@
         if rules.digest == rulebook.rules.digest:
             return None
         return ConflictingRulesError(version, "the version in force has another digest")
-    if services_digest(rules.services) != rules.digest:
+    if services_digest(rules.services, rules.routes) != rules.digest:
         return RulesDigestError(version, "the services do not match the digest")
     return None
--- a/src/pollenbay/commands/announcing.py
+++ b/src/pollenbay/commands/announcing.py
@@ -6,7 +6,6 @@
 from pollenbay.commands.admission import resume, set_slots
 from pollenbay.node import Node
 from pollenbay.states import TargetState
-from pollenbay.target import ANNOUNCEMENT_LEASE_S
 
 LOG = getLogger("pollenbay.target")
 
@@ -17,8 +16,9 @@
         node.metrics.note_bad_input("announcement")
         return
     before = node.target.state
-    moved = (announcement.address, announcement.port) != node.target.endpoint
-    node.target.update(announcement.state, announcement.address, announcement.port, now)
+    endpoint = announcement.address, announcement.port
+    moved = endpoint != node.target.endpoint or announcement.target != node.target.name
+    node.target.update(announcement.state, *endpoint, now, announcement.target)
     set_slots(node.gate, announcement.slots)
     if before is TargetState.ABSENT or moved:
         resume(node.gate, now)
@@ -28,7 +28,7 @@
 def expire_target(node: Node, now: float) -> None:
     """Count the target as absent once its last announcement is too old."""
     before = node.target.state
-    if before is TargetState.ABSENT or now - node.target.heard_at < ANNOUNCEMENT_LEASE_S:
+    if before is TargetState.ABSENT or now - node.target.heard_at < node.settings.target_lease_s:
         return
     node.target.mark_absent()
     _note_change(node, before)
--- a/src/pollenbay/commands/calling.py
+++ b/src/pollenbay/commands/calling.py
@@ -4,7 +4,7 @@
 
 from pollenbay.account import Account
 from pollenbay.call import Call, Entrance, Passage
-from pollenbay.commands.retry import give_back, hand_out, note_first, take_retry
+from pollenbay.commands.retry import give_back, hand_out, note_first, take_turn
 from pollenbay.commands.routing import begin_attempt, end_attempt, pick
 from pollenbay.commands.serving import serve
 from pollenbay.ids import InstanceId, make_call_id
@@ -12,6 +12,7 @@
     Link,
     LinkBrokenError,
     LinkConnectError,
+    LinkDeadlineError,
     LinkError,
     LinkMessageError,
     LinkSilentError,
@@ -28,7 +29,6 @@
 from pollenbay.queries.pressure import refuse_at_entry
 from pollenbay.queries.retry import is_retriable, outcome_to_tell
 from pollenbay.queries.rules import find_call
-from pollenbay.rule import CallRule
 from pollenbay.score import AttemptResult
 from pollenbay.states import Reason
 from pollenbay.view import Member
@@ -61,42 +61,40 @@
         )
         if refusal is not None:
             return NotRun(refusal.reason, refusal.retry_after_s)
-    return await _place_by_rule(node, call, rule, account, passage)
+    return await place_at_service(node, call, account, passage)
 
 
-async def _place_by_rule(
-    node: Node, call: Call, rule: CallRule, account: Account, passage: Passage
-) -> Outcome:
+async def place_at_service(node: Node, call: Call, account: Account, passage: Passage) -> Outcome:
+    """Bring a call to a target of the service that was chosen for it and return its outcome."""
     excluded: frozenset[InstanceId] = frozenset()
-    note_first(node.budget, call.call_class, node.timer.now())
+    budget = node.budgets.of(call.service)
+    note_first(budget, call.call_class, node.timer.now())
     told: Outcome | None = None
     retries = 0
     while True:
-        member = _choose(node, call, rule, excluded)
+        member = _choose(node, call, excluded)
         if member is None:
             return outcome_to_tell(NotRun(Reason.NO_TARGET, RETRY_AFTER_S), told)
         node.metrics.note_attempt(call.call_class, retries > 0)
-        outcome = await _attempt(node, call, rule, account, passage, member)
+        outcome = await _attempt(node, call, account, passage, member)
         told = outcome_to_tell(outcome, told)
-        if not is_retriable(outcome, rule) or not _has_time(node, call):
+        if not is_retriable(outcome, call) or not _has_time(node, call):
             return told
-        if not take_retry(account, node.budget, call.call_class, node.timer.now()):
+        if not take_turn(outcome, account, budget, call.call_class, node.timer.now()):
             return told
         excluded = excluded | {member.instance}
         await sleep(_backoff_s(node, retries))
         retries += 1
 
 
-def _choose(
-    node: Node, call: Call, rule: CallRule, excluded: frozenset[InstanceId]
-) -> Member | None:
-    choice = _pick(node, call, rule, excluded)
+def _choose(node: Node, call: Call, excluded: frozenset[InstanceId]) -> Member | None:
+    choice = _pick(node, call, excluded)
     if choice is None and excluded:
-        return _pick(node, call, rule, frozenset())
+        return _pick(node, call, frozenset())
     return choice
 
 
-def _pick(node: Node, call: Call, rule: CallRule, excluded: frozenset[InstanceId]) -> Member | None:
+def _pick(node: Node, call: Call, excluded: frozenset[InstanceId]) -> Member | None:
     return pick(
         node.view,
         node.scores,
@@ -105,7 +103,7 @@
         excluded,
         node.timer.now(),
         node.random,
-        may_probe=rule.idempotent,
+        may_probe=call.idempotent,
     )
 
 
@@ -119,14 +117,14 @@
 
 
 async def _attempt(
-    node: Node, call: Call, rule: CallRule, account: Account, passage: Passage, member: Member
+    node: Node, call: Call, account: Account, passage: Passage, member: Member
 ) -> Outcome:
-    allowance = hand_out(account) if rule.calls else 0
+    allowance = hand_out(account) if call.has_calls else 0
     started_at = node.timer.now()
     begin_attempt(node.scores, member, started_at)
     result = AttemptResult.CANCELLED
     try:
-        outcome = await _reach(node, call, rule, allowance, passage, member)
+        outcome = await _reach(node, call, allowance, passage, member)
         result = _result_of(outcome)
     finally:
         now = node.timer.now()
@@ -145,11 +143,11 @@
 
 
 async def _reach(
-    node: Node, call: Call, rule: CallRule, allowance: int, passage: Passage, member: Member
+    node: Node, call: Call, allowance: int, passage: Passage, member: Member
 ) -> Outcome:
     if member.instance != node.settings.instance:
-        return await _forward(node, call, rule, allowance, passage, member)
-    if rule.idempotent:
+        return await _forward(node, call, allowance, passage, member)
+    if call.idempotent or call.idempotency_key is None:
         return await serve(node, call, allowance, passage)
     return await _serve_to_the_end(node, call, allowance, passage)
 
@@ -172,7 +170,7 @@
 
 
 async def _forward(
-    node: Node, call: Call, rule: CallRule, allowance: int, passage: Passage, member: Member
+    node: Node, call: Call, allowance: int, passage: Passage, member: Member
 ) -> Outcome:
     address, port = member.endpoints.address, member.endpoints.link_port
     try:
@@ -182,7 +180,10 @@
     message = make_call_message(call, make_call_id(), _link_time_s(node, call), allowance)
     passage.sent = True
     try:
-        outcome = await _ask(node, call, rule, link, message)
+        outcome = await _ask(node, call, link, message)
+    except LinkDeadlineError:
+        await link.close()
+        return Unknown(Reason.DEADLINE)
     except LinkError as error:
         await link.close()
         await node.links.distrust(address, port)
@@ -207,27 +208,32 @@
     return max(call.deadline - node.timer.now() - RETURN_MARGIN_S, 0.0)
 
 
-async def _ask(node: Node, call: Call, rule: CallRule, link: Link, message: CallMessage) -> Outcome:
+async def _ask(node: Node, call: Call, link: Link, message: CallMessage) -> Outcome:
     """Send a call on a link and return its outcome.
 
     :raises LinkError: if the link broke, went silent or brought something else.
     """
     await link.send(message)
+    heard_at = node.timer.now()
     while True:
-        reply = await _receive(node, call, rule, link)
+        reply = await _receive(node, call, link, heard_at)
         if reply.call_id != message.call_id or isinstance(reply, CallMessage):
             raise LinkMessageError("not a reply to this call")
         if not isinstance(reply, ProgressMessage):
             return outcome_of(reply)
+        heard_at = node.timer.now()
 
 
-async def _receive(node: Node, call: Call, rule: CallRule, link: Link) -> AnyLinkMessage:
+async def _receive(node: Node, call: Call, link: Link, heard_at: float) -> AnyLinkMessage:
     time_left_s = call.deadline - node.timer.now()
-    limit_s = min(time_left_s, SILENCE_LIMIT_S) if rule.idempotent else time_left_s
+    limit_s = min(time_left_s, SILENCE_LIMIT_S) if call.idempotent else time_left_s
     try:
         reply = await timeout_after(max(limit_s, 0.0), link.receive)
     except TaskTimeout as error:
-        raise LinkSilentError(f"nothing for {limit_s:.1f} s") from error
+        silent_s = node.timer.now() - heard_at
+        if silent_s < SILENCE_LIMIT_S:
+            raise LinkDeadlineError("the deadline has passed") from error
+        raise LinkSilentError(f"nothing for {silent_s:.1f} s") from error
     if reply is None:
         raise LinkBrokenError("closed before the reply")
     return reply
--- a/src/pollenbay/commands/entry.py
+++ b/src/pollenbay/commands/entry.py
@@ -1,17 +1,26 @@
 """Entry of calls: from what was asked to a call with a deadline and an allowance of retries."""
 
+from curio import TaskTimeout, timeout_after
+
 from pollenbay.account import make_account
-from pollenbay.call import Asked, Call, Entrance, Passage
-from pollenbay.commands.calling import place
+from pollenbay.call import Asked, Call, Entrance, Passage, RouteAsked
+from pollenbay.commands.calling import place, place_at_service
 from pollenbay.contexts import Context
 from pollenbay.ids import CallerId, make_request_id
 from pollenbay.node import Node
-from pollenbay.outcome import NotRun, Outcome
+from pollenbay.outcome import NotRun, Outcome, Unknown
+from pollenbay.queries.routes import choose_destination, find_route
 from pollenbay.queries.rules import find_call
-from pollenbay.rule import CallRule
+from pollenbay.rule import CallRule, Route
 from pollenbay.states import Reason
 
 MS_PER_S = 1000.0
+#: Other targets tried for one request after refusals, which cost a few milliseconds each.
+FREE_REFUSALS = 2
+#: A node that has just started gets its rules within about this time.
+NOT_READY_RETRY_S = 0.5
+#: Callers of routes are not told apart.
+ANY_CALLER = CallerId("")
 
 
 async def enter_from_caller(
@@ -54,6 +63,42 @@
         context.end_call(node.timer.now())
 
 
+async def enter_by_route(node: Node, asked: RouteAsked, passage: Passage) -> Outcome:
+    """Place a request that a route selects and answer it by the end of the route's wait."""
+    if not node.rulebook.version:
+        return NotRun(Reason.NOT_READY, NOT_READY_RETRY_S)
+    route = find_route(node.rulebook, asked.host, asked.path.partition("?")[0])
+    if route is None:
+        return NotRun(Reason.UNKNOWN_CALL)
+    call = _make_routed_call(node, asked, route)
+    account = make_account(route.attempts - 1, call.deadline, FREE_REFUSALS)
+    wait_s = call.deadline - node.timer.now()
+    try:
+        return await timeout_after(wait_s, place_at_service, node, call, account, passage)
+    except TaskTimeout:
+        return Unknown(Reason.DEADLINE) if passage.sent else NotRun(Reason.DEADLINE)
+
+
+def _make_routed_call(node: Node, asked: RouteAsked, route: Route) -> Call:
+    wait_s = route.wait_ms / MS_PER_S
+    if asked.wait_s is not None:
+        wait_s = min(wait_s, asked.wait_s)
+    return Call(
+        request=asked.request,
+        service=choose_destination(route, node.random.random()),
+        name=route.name,
+        call_class=route.call_class,
+        caller=ANY_CALLER,
+        method=asked.method,
+        path=asked.path,
+        headers=asked.headers,
+        body=asked.body,
+        deadline=node.timer.now() + wait_s,
+        idempotent=route.idempotent,
+        origin=node.settings.service,
+    )
+
+
 def _make_call(node: Node, asked: Asked, rule: CallRule, caller: CallerId) -> Call:
     wait_s = rule.wait_ms / MS_PER_S
     if asked.wait_s is not None:
@@ -70,6 +115,9 @@
         body=asked.body,
         deadline=node.timer.now() + wait_s,
         idempotency_key=asked.idempotency_key,
+        idempotent=rule.idempotent,
+        has_calls=bool(rule.calls),
+        origin=node.settings.service,
     )
 
 
--- a/src/pollenbay/commands/gossiping.py
+++ b/src/pollenbay/commands/gossiping.py
@@ -1,5 +1,6 @@
 """The tasks of a node's membership, and what the rest of the node tells it."""
 
+from collections.abc import Awaitable, Callable
 from logging import getLogger
 
 from curio import CancelledError, TaskError, TaskGroup, spawn
@@ -20,10 +21,13 @@
 
 LOG = getLogger("pollenbay.membership")
 
+RunRules = Callable[[Membership], Awaitable[None]]
 
-async def run_membership(membership: Membership) -> None:
+
+async def run_membership(membership: Membership, run_rules: RunRules = run_polls) -> None:
     """Run until cancelled; the timer has to run beside it.
 
+    :param run_rules: task that watches for newer rules outside the gossip.
     :raises Exception: the error of a task that failed.
     """
     try:
@@ -33,7 +37,7 @@
             await group.spawn(run_joining, membership)
             await group.spawn(run_announcements, membership)
             await group.spawn(run_pulls, membership)
-            await group.spawn(run_polls, membership)
+            await group.spawn(run_rules, membership)
         if group.completed is not None and group.completed.exception is not None:
             raise group.completed.exception
     finally:
--- a/src/pollenbay/commands/retry.py
+++ b/src/pollenbay/commands/retry.py
@@ -1,13 +1,16 @@
 """Decisions on retries: the allowance of the chain first, then the ratio of the node."""
 
+from functools import singledispatch
+
 from pollenbay.account import Account
-from pollenbay.budget import RETRIES_PER_FIRST_CALL, RetryBudget
-from pollenbay.states import CallClass
+from pollenbay.budget import RetryBudget
+from pollenbay.outcome import NotRun, Outcome
+from pollenbay.states import CallClass, Reason
 
 
 def note_first(budget: RetryBudget, call_class: CallClass, now: float) -> None:
     """Count the first attempt of a call, which earns a part of a retry."""
-    budget.earn(call_class, RETRIES_PER_FIRST_CALL, now)
+    budget.earn(call_class, budget.terms.per_first_call, now)
 
 
 def take_retry(account: Account, budget: RetryBudget, call_class: CallClass, now: float) -> bool:
@@ -18,6 +21,24 @@
     return budget.spend(call_class) and account.spend()
 
 
+@singledispatch
+def take_turn(
+    last: Outcome, account: Account, budget: RetryBudget, call_class: CallClass, now: float
+) -> bool:
+    """Spend what another attempt costs after the last one, and tell whether it is allowed."""
+    return take_retry(account, budget, call_class, now)
+
+
+@take_turn.register
+def _(
+    last: NotRun, account: Account, budget: RetryBudget, call_class: CallClass, now: float
+) -> bool:
+    reached_target = last.reason is Reason.TARGET_REFUSED
+    if not reached_target and now < account.deadline and account.spend_refusal():
+        return True
+    return take_retry(account, budget, call_class, now)
+
+
 def hand_out(account: Account) -> int:
     """Move half of the retries, rounded up, to a sub-call and return how many.
 
--- a/src/pollenbay/commands/serving.py
+++ b/src/pollenbay/commands/serving.py
@@ -18,8 +18,6 @@
 from pollenbay.metrics import Metrics
 from pollenbay.node import Node
 from pollenbay.outcome import Answered, NotRun, Outcome, Unknown
-from pollenbay.queries.rules import find_call
-from pollenbay.rule import CallRule
 from pollenbay.states import NodeState, Reason, TargetState
 from pollenbay.target import TargetAnswerError, TargetConnectError
 
@@ -56,18 +54,17 @@
 
 
 async def _serve(node: Node, call: Call, allowance: int, passage: Passage) -> Outcome:
-    rule = find_call(node.rulebook, call.service, call.name)
-    reason = _reason_to_refuse(node, call, rule)
+    reason = _reason_to_refuse(node, call)
     if reason is not None:
         return NotRun(reason, RETRY_AFTER_S, allowance)
-    verdict = await _enter(node, call, rule)
+    verdict = await _enter(node, call)
     if isinstance(verdict, Refusal):
         return NotRun(verdict.reason, verdict.retry_after_s, allowance)
-    return await _serve_admitted(node, call, rule, allowance, passage, verdict)
+    return await _serve_admitted(node, call, allowance, passage, verdict)
 
 
-def _reason_to_refuse(node: Node, call: Call, rule: CallRule | None) -> Reason | None:
-    if rule is None or call.service != node.settings.service:
+def _reason_to_refuse(node: Node, call: Call) -> Reason | None:
+    if call.service != node.settings.service:
         return Reason.UNKNOWN_CALL
     if node.refusing or node.state is NodeState.STOPPED:
         return Reason.DRAINING
@@ -78,7 +75,7 @@
     return None
 
 
-async def _enter(node: Node, call: Call, rule: CallRule) -> Ticket | Refusal:
+async def _enter(node: Node, call: Call) -> Ticket | Refusal:
     now = node.timer.now()
     verdict = admit(node.gate, Arrival(call.call_class, call.caller, call.deadline, now), now)
     if not isinstance(verdict, Waiter):
@@ -104,12 +101,12 @@
 
 
 async def _serve_admitted(
-    node: Node, call: Call, rule: CallRule, allowance: int, passage: Passage, ticket: Ticket
+    node: Node, call: Call, allowance: int, passage: Passage, ticket: Ticket
 ) -> Outcome:
     started_at = node.timer.now()
     sound = False
     try:
-        outcome = await _run(node, call, rule, allowance, passage)
+        outcome = await _run(node, call, allowance, passage)
         sound = _is_sound(outcome)
         return outcome
     finally:
@@ -123,16 +120,16 @@
     return isinstance(outcome, Answered) and outcome.status < STATUS_SERVER_ERROR
 
 
-async def _run(node: Node, call: Call, rule: CallRule, allowance: int, passage: Passage) -> Outcome:
-    if rule.idempotent or call.idempotency_key is None:
-        return await _send(node, call, rule, allowance, passage)
+async def _run(node: Node, call: Call, allowance: int, passage: Passage) -> Outcome:
+    if call.idempotent or call.idempotency_key is None:
+        return await _send(node, call, allowance, passage)
     passage.cancellable = False
     claim = await take_claim(node.ledger, _claim_request(node, call))
     if not isinstance(claim, Claim):
         return replace(claim, allowance_left=allowance)
     outcome: Outcome = Unknown(Reason.CANCELLED)
     try:
-        outcome = await _send(node, call, rule, allowance, passage)
+        outcome = await _send(node, call, allowance, passage)
     finally:
         known = outcome if passage.sent else NotRun(Reason.CANCELLED)
         await settle_claim(known, node.ledger, claim)
@@ -166,9 +163,7 @@
     await release_claim(ledger, claim)
 
 
-async def _send(
-    node: Node, call: Call, rule: CallRule, allowance: int, passage: Passage
-) -> Outcome:
+async def _send(node: Node, call: Call, allowance: int, passage: Passage) -> Outcome:
     try:
         client = await node.target.connect()
     except TargetConnectError as error:
@@ -180,7 +175,7 @@
     key = node.contexts.open(context)
     sent_at = node.timer.now()
     try:
-        outcome = await _exchange(node, call, rule, passage, client, key)
+        outcome = await _exchange(node, call, passage, client, key)
         return replace(outcome, allowance_left=account.take_all())
     finally:
         now = node.timer.now()
@@ -189,15 +184,16 @@
 
 
 async def _exchange(
-    node: Node, call: Call, rule: CallRule, passage: Passage, client: HttpClient, key: ContextKey
+    node: Node, call: Call, passage: Passage, client: HttpClient, key: ContextKey
 ) -> Outcome:
     time_left_s = call.deadline - node.timer.now()
     if time_left_s <= 0:
         await node.target.keep(client)
         return NotRun(Reason.DEADLINE)
-    passage.cancellable = rule.idempotent
+    recorded = not call.idempotent and call.idempotency_key is not None
+    passage.cancellable = call.idempotent
     passage.sent = True
-    limit_s = time_left_s if rule.idempotent else time_left_s + RECORD_GRACE_S
+    limit_s = time_left_s + RECORD_GRACE_S if recorded else time_left_s
     try:
         return await node.target.run(client, call, key, time_left_s, limit_s)
     except TargetAnswerError as error:
--- a/src/pollenbay/daemon.py
+++ b/src/pollenbay/daemon.py
@@ -15,6 +15,7 @@
 from msgspec.json import encode
 from result import Err
 
+from pollenbay.adapter import Adapter, make_plain_adapter
 from pollenbay.admin import serve_admin
 from pollenbay.callers import make_callers, serve_target
 from pollenbay.commands.adoption import adopt
@@ -25,6 +26,8 @@
 from pollenbay.linking import serve_link
 from pollenbay.logs import start_logs
 from pollenbay.node import Node, make_node
+from pollenbay.platform.frontend import make_platform_adapter, platform_parts
+from pollenbay.platform.settings import read_platform_settings, with_bounds
 from pollenbay.queries.rules import read_current
 from pollenbay.settings import Settings, load_settings
 from pollenbay.signals import StopSignals, catch_signals
@@ -49,14 +52,20 @@
 
 @dataclass(slots=True)
 class Listeners:
-    """The listening sockets of a node."""
+    """The listening sockets that every node has."""
 
-    callers: Socket
-    outbound: Socket
     link: Socket
     admin: Socket
 
 
+@dataclass(slots=True)
+class OwnListeners:
+    """The listening sockets of this project's own interface to callers and targets."""
+
+    callers: Socket
+    outbound: Socket
+
+
 @click.command()
 @click.option(
     "--settings",
@@ -77,6 +86,11 @@
     if isinstance(settings, Err):
         click.echo(f"pollenbayd: {settings.err_value}", err=True)
         exit(EXIT_BAD_SETTINGS)
+    if settings.ok_value.platform is not None:
+        platform = read_platform_settings(settings.ok_value)
+        if isinstance(platform, Err):
+            click.echo(f"pollenbayd: {path}: {platform.err_value}", err=True)
+            exit(EXIT_BAD_SETTINGS)
     if not check:
         exit(run(serve_node, settings.ok_value))
 
@@ -84,47 +98,76 @@
 async def serve_node(settings: Settings) -> int:
     """Run a node until it is stopped and return the exit code."""
     start_logs(settings.log_level, settings.instance, settings.host)
+    if settings.platform is None:
+        return await _serve_own(settings)
+    return await _serve_platform(settings)
+
+
+async def _serve_own(settings: Settings) -> int:
+    """Run a node with this project's own interface to callers, targets and table."""
+    address, ports = settings.address, settings.ports
     listeners = _listen(settings)
-    node = make_node(settings, port_of(listeners.link), adopt, read_current)
+    own = OwnListeners(listen(address, ports.callers), listen(address, ports.outbound))
+    adapter = make_plain_adapter(settings.table)
+    node = make_node(settings, port_of(listeners.link), adopt, read_current, adapter)
+    parts = [
+        node.ledger.run(),
+        run_sweeper(node.ledger),
+        accept_streams(own.callers, partial(make_callers().serve, node)),
+        accept_streams(own.outbound, partial(serve_target, node)),
+    ]
+    return await _run(node, listeners, adapter, parts, own)
+
+
+async def _serve_platform(settings: Settings) -> int:
+    """Run a node with the interfaces of the users' platform.
+
+    :raises SettingsError: if the platform's settings are wrong; `main` has checked them.
+    """
+    platform = read_platform_settings(settings).unwrap()
+    settings = with_bounds(settings, platform)
+    listeners = _listen(settings)
+    adapter = make_platform_adapter(platform)
+    node = make_node(settings, port_of(listeners.link), adopt, read_current, adapter)
+    return await _run(node, listeners, adapter, platform_parts(node, platform), None)
+
+
+async def _run(
+    node: Node,
+    listeners: Listeners,
+    adapter: Adapter,
+    parts: list[Awaitable[None]],
+    own: OwnListeners | None,
+) -> int:
     async with TaskGroup(wait=any) as group:
-        for part in _parts(node, listeners):
+        for part in [*parts, *_common_parts(node, listeners, adapter)]:
             await group.spawn(part)
-        _print_ready(node, listeners)
+        _print_ready(node, listeners, own)
         await group.spawn(_stop_when_asked, node)
     return group.result
 
 
 def _listen(settings: Settings) -> Listeners:
     address, ports = settings.address, settings.ports
-    return Listeners(
-        callers=listen(address, ports.callers),
-        outbound=listen(address, ports.outbound),
-        link=listen(address, ports.link),
-        admin=listen(address, ports.admin),
-    )
+    return Listeners(link=listen(address, ports.link), admin=listen(address, ports.admin))
 
 
-def _parts(node: Node, listeners: Listeners) -> list[Awaitable[None]]:
-    callers = make_callers()
+def _common_parts(node: Node, listeners: Listeners, adapter: Adapter) -> list[Awaitable[None]]:
     return [
         node.timer.run(),
         node.watch.run(node.timer),
-        node.ledger.run(),
-        run_sweeper(node.ledger),
-        run_membership(node.membership),
+        run_membership(node.membership, adapter.run_rules),
         keep_up(node),
-        accept_streams(listeners.callers, partial(callers.serve, node)),
-        accept_streams(listeners.outbound, partial(serve_target, node)),
         accept_streams(listeners.link, partial(serve_link, node)),
         accept_streams(listeners.admin, partial(serve_admin, node)),
     ]
 
 
-def _print_ready(node: Node, listeners: Listeners) -> None:
+def _print_ready(node: Node, listeners: Listeners, own: OwnListeners | None) -> None:
     ready = Ready(
         ready=True,
-        callers=port_of(listeners.callers),
-        outbound=port_of(listeners.outbound),
+        callers=port_of(own.callers) if own else 0,
+        outbound=port_of(own.outbound) if own else 0,
         link=port_of(listeners.link),
         gossip=node.membership.gossip_port,
         admin=port_of(listeners.admin),
--- a/src/pollenbay/gate.py
+++ b/src/pollenbay/gate.py
@@ -20,8 +20,8 @@
 class Gate:
     """State of admission to one target."""
 
-    def __init__(self, slots: int) -> None:
-        self._limit = make_limit(slots)
+    def __init__(self, slots: int, adaptive: bool = True) -> None:
+        self._limit = make_limit(slots, adaptive)
         self._line = make_waiting_line()
         self._shares = make_shares()
         self._shedding = make_shedding()
@@ -66,6 +66,9 @@
         self._in_flight -= 1
 
 
-def make_gate(slots: int) -> Gate:
-    """Return a gate for a target that announced so many slots."""
-    return Gate(slots)
+def make_gate(slots: int, adaptive: bool = True) -> Gate:
+    """Return a gate for a target that announced so many slots.
+
+    :param adaptive: whether the concurrency limit is searched for.
+    """
+    return Gate(slots, adaptive)
--- a/src/pollenbay/httpclient.py
+++ b/src/pollenbay/httpclient.py
@@ -1,6 +1,6 @@
 """The client's end of an HTTP/1.1 connection: whole requests out, whole responses in."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import h11
 from curio.io import Socket
@@ -21,18 +21,27 @@
 from pollenbay.outcome import Headers
 from pollenbay.stream import StreamConnectError, open_stream, peer_has_spoken
 
+#: Responses to earlier requests that are passed over before the connection is given up.
+STRAYS_MAX = 2
+
+Belongs = Callable[[HttpResponse], bool]
+
 
 class HttpClient:
     """The client's end of one kept connection, for one exchange at a time.
 
     :param sock: a connected socket.
     :param body_limit_bytes: longest response body that is taken.
+    :param unframed: whether a response without a stated length may end with the connection.
     """
 
-    def __init__(self, sock: Socket, body_limit_bytes: int = BODY_LIMIT_BYTES) -> None:
+    def __init__(
+        self, sock: Socket, body_limit_bytes: int = BODY_LIMIT_BYTES, unframed: bool = False
+    ) -> None:
         self._sock = sock
         self._body_limit_bytes = body_limit_bytes
-        self._conn = h11.Connection(h11.CLIENT, max_incomplete_event_size=HEADER_LIMIT_BYTES)
+        self._unframed = unframed
+        self._conn = _make_connection()
 
     @property
     def sock(self) -> Socket:
@@ -53,16 +62,17 @@
         """Tell whether the server has closed the connection or sent an unasked answer."""
         return peer_has_spoken(self._sock)
 
-    async def exchange(self, request: HttpRequest) -> HttpResponse:
+    async def exchange(self, request: HttpRequest, belongs: Belongs | None = None) -> HttpResponse:
         """Send a request and return the whole response.
 
+        :param belongs: tells the response to this request from strays; None takes the first.
         :raises HttpExchangeError: if the connection broke.
         :raises HttpAnswerError: if the response is not whole and correct.
         """
         data = self._encode(request)
         try:
             await self._sock.sendall(data)
-            response = await self._read_response(request.method)
+            response = await self._read_belonging(request, belongs)
         except OSError as error:
             raise HttpExchangeError(str(error)) from error
         self._finish_cycle()
@@ -83,6 +93,24 @@
         parts.append(self._conn.send(h11.EndOfMessage()))
         return b"".join(part for part in parts if part)
 
+    async def _read_belonging(self, request: HttpRequest, belongs: Belongs | None) -> HttpResponse:
+        for _ in range(STRAYS_MAX):
+            response = await self._read_response(request.method)
+            if belongs is None or belongs(response):
+                return response
+            self._expect_anew(request)
+        raise HttpAnswerError("the connection brings answers to other requests")
+
+    def _expect_anew(self, request: HttpRequest) -> None:
+        """Await the response once more, on what has been received past a stray one."""
+        rest, closed = self._conn.trailing_data
+        self._conn = _make_connection()
+        self._encode(request)
+        if rest:
+            self._conn.receive_data(rest)
+        if closed:
+            self._conn.receive_data(b"")
+
     async def _read_response(self, method: bytes) -> HttpResponse:
         head = await self._next_event()
         while isinstance(head, h11.InformationalResponse):
@@ -90,7 +118,8 @@
         if not isinstance(head, h11.Response):
             raise HttpExchangeError("closed before an answer")
         headers = list(head.headers)
-        _require_length(method, head.status_code, headers)
+        if not self._unframed:
+            _require_length(method, head.status_code, headers)
         body = await self._read_body()
         return HttpResponse(head.status_code, headers, body)
 
@@ -115,8 +144,15 @@
             self._conn.start_next_cycle()
 
 
+def _make_connection() -> h11.Connection:
+    return h11.Connection(h11.CLIENT, max_incomplete_event_size=HEADER_LIMIT_BYTES)
+
+
 async def connect_http(
-    address: str, port: int, body_limit_bytes: int = BODY_LIMIT_BYTES
+    address: str,
+    port: int,
+    body_limit_bytes: int = BODY_LIMIT_BYTES,
+    unframed: bool = False,
 ) -> HttpClient:
     """Open a connection to an HTTP server.
 
@@ -126,7 +162,7 @@
         sock = await open_stream(address, port)
     except StreamConnectError as error:
         raise HttpConnectError(str(error)) from error
-    return HttpClient(sock, body_limit_bytes)
+    return HttpClient(sock, body_limit_bytes, unframed)
 
 
 def _require_length(method: bytes, status: int, headers: Headers) -> None:
--- a/src/pollenbay/ids.py
+++ b/src/pollenbay/ids.py
@@ -17,6 +17,8 @@
 InstanceId = NewType("InstanceId", str)
 #: Grows each time an instance starts, so that news of an earlier run can be told apart.
 Incarnation = NewType("Incarnation", int)
+#: One run of a target, as the target names itself; empty if it does not.
+TargetId = NewType("TargetId", str)
 #: One attempt of one call between two nodes.
 CallId = NewType("CallId", str)
 #: One request of an outside caller with everything called for it.
--- a/src/pollenbay/limit.py
+++ b/src/pollenbay/limit.py
@@ -46,6 +46,9 @@
 FAILURES_PART = 0.05
 FAILURES_MIN = 10
 TINY_S = 1e-9
+#: Part of the announced slots that is used where the limit is not searched for: targets slow down
+#: when all of them are taken.
+USABLE_PART = 0.95
 PAUSE_MIN_S = 1.0
 PAUSE_DOUBLINGS = 3
 REFERENCE_WEIGHT = 0.3
@@ -56,9 +59,11 @@
     """How many calls a target may run at once.
 
     :param slots: what the target announced.
+    :param adaptive: whether the limit is searched for; else it is `USABLE_PART` of the slots.
     """
 
-    def __init__(self, slots: int) -> None:
+    def __init__(self, slots: int, adaptive: bool = True) -> None:
+        self._adaptive = adaptive
         self._slots = max(slots, 1)
         self._value = float(self._slots)
         self._held = self._value
@@ -85,6 +90,8 @@
     @property
     def value(self) -> int:
         """Return the limit in whole calls, at least 1."""
+        if not self._adaptive:
+            return max(int(self._slots * USABLE_PART), 1)
         return int(self._value)
 
     @property
@@ -142,6 +149,8 @@
         answered = ok or latency_s > self._means_s[rank]
         if answered:
             self._smooth(rank, latency_s, now)
+        if not self._adaptive:
+            return
         window = self._window
         if now < window.started_at:
             return
@@ -311,6 +320,6 @@
         self._window = Window(started_at, wanted)
 
 
-def make_limit(slots: int) -> Limit:
+def make_limit(slots: int, adaptive: bool = True) -> Limit:
     """Return a limit that starts at the announced slots."""
-    return Limit(slots)
+    return Limit(slots, adaptive)
--- a/src/pollenbay/link.py
+++ b/src/pollenbay/link.py
@@ -39,6 +39,10 @@
     """The connection is open and nothing comes, not even progress."""
 
 
+class LinkDeadlineError(LinkError):
+    """The deadline of the call has passed on a link that was heard of lately."""
+
+
 class LinkMessageError(LinkError):
     """What arrived is not a message of a link."""
 
--- a/src/pollenbay/message.py
+++ b/src/pollenbay/message.py
@@ -41,6 +41,8 @@
     allowance: int
     idempotency_key: IdempotencyKey | None
     depth: int
+    idempotent: bool
+    origin: ServiceName
 
 
 class AnswerMessage(LinkMessage, tag=2):
@@ -94,6 +96,8 @@
         allowance=allowance,
         idempotency_key=call.idempotency_key,
         depth=call.depth,
+        idempotent=call.idempotent,
+        origin=call.origin,
     )
 
 
@@ -112,6 +116,8 @@
         deadline=now + message.time_left_ms / MS_PER_S,
         idempotency_key=message.idempotency_key,
         depth=message.depth,
+        idempotent=message.idempotent,
+        origin=message.origin,
     )
 
 
--- a/src/pollenbay/news.py
+++ b/src/pollenbay/news.py
@@ -16,7 +16,7 @@
     ServiceName,
     ZoneId,
 )
-from pollenbay.rule import ServiceRule
+from pollenbay.rule import Route, ServiceRule
 from pollenbay.states import MemberState
 
 #: Most records in one heartbeat.
@@ -114,6 +114,7 @@
     :param version: 0 if there is nothing newer.
     :param order: all services of the rule set, in its order.
     :param changed: those that the asker does not hold.
+    :param routes: all routes of the rule set.
     """
 
     version: RuleVersion
@@ -122,6 +123,7 @@
     published_at: float
     order: tuple[ServiceName, ...]
     changed: tuple[ServiceRule, ...]
+    routes: tuple[Route, ...] = ()
 
 
 class ReportRequest(Struct, frozen=True, array_like=True, tag="report?"):
--- a/src/pollenbay/node.py
+++ b/src/pollenbay/node.py
@@ -5,7 +5,8 @@
 
 from curio import Event
 
-from pollenbay.budget import RetryBudget, make_retry_budget
+from pollenbay.adapter import Adapter
+from pollenbay.budget import RetryBudgets, make_retry_budgets
 from pollenbay.contexts import Contexts, make_contexts
 from pollenbay.gate import Gate, make_gate
 from pollenbay.ids import Incarnation
@@ -18,7 +19,7 @@
 from pollenbay.score import Scores, make_scores
 from pollenbay.settings import Settings
 from pollenbay.states import NodeState
-from pollenbay.table import Table, make_table
+from pollenbay.table import Table
 from pollenbay.target import Target, make_target
 from pollenbay.timer import Timer, make_timer
 from pollenbay.view import Place, View, make_view
@@ -43,7 +44,7 @@
     target: Target
     gate: Gate
     scores: Scores
-    budget: RetryBudget
+    budgets: RetryBudgets
     contexts: Contexts
     ledger: Ledger
     links: LinkPool
@@ -61,15 +62,18 @@
         return self.membership.incarnation
 
 
-def make_node(settings: Settings, link_port: int, adopt: Adopt, read_rules: ReadRules) -> Node:
+def make_node(
+    settings: Settings, link_port: int, adopt: Adopt, read_rules: ReadRules, adapter: Adapter
+) -> Node:
     """Return a node that has not begun to serve.
 
     :param link_port: port at which other nodes' calls are taken.
     :param adopt: puts rules in force.
     :param read_rules: reads the rules that the table holds.
+    :param adapter: what the deployment brings.
     """
     timer = make_timer()
-    table = make_table(settings.table.address, settings.table.port, settings.table.timeout_s)
+    table = adapter.table
     rulebook, view = make_rulebook(), make_view()
     membership = make_membership(
         settings, link_port, view, rulebook, table, timer, adopt, read_rules
@@ -82,10 +86,10 @@
         table=table,
         rulebook=rulebook,
         view=view,
-        target=make_target(settings.limits.body_bytes),
-        gate=make_gate(DEFAULT_SLOTS),
+        target=make_target(settings.limits.body_bytes, adapter.dialect),
+        gate=make_gate(DEFAULT_SLOTS, adapter.adaptive_limit),
         scores=make_scores(),
-        budget=make_retry_budget(),
+        budgets=make_retry_budgets(adapter.retry_terms, adapter.budget_by_service),
         contexts=make_contexts(),
         ledger=ledger,
         links=make_link_pool(),
--- /dev/null
+++ b/src/pollenbay/platform/frontend.py
@@ -0,0 +1,51 @@
+"""What the platform brings to a node: its store, its instances, and the ports it asks for."""
+
+from collections.abc import Awaitable
+from functools import partial
+
+from pollenbay.adapter import Adapter
+from pollenbay.budget import RetryTerms
+from pollenbay.node import Node
+from pollenbay.platform.checkins import make_check_ins, serve_check_ins, serve_readiness
+from pollenbay.platform.instance import make_instance_dialect
+from pollenbay.platform.requests import serve_client
+from pollenbay.platform.settings import PlatformSettings, read_bounds, read_endpoint
+from pollenbay.platform.store import make_store_table, run_rule_feed
+from pollenbay.stream import accept_streams, listen
+
+#: Part of the allowed ratio that one node uses: repeats multiply along a chain four calls deep.
+RETRY_RATIO_PART = 0.25
+#: Repeats that a node saves up for one class of one service; many nodes may spend them at once.
+RETRY_BURST = 1.0
+#: Repeats that a node earns each second for one class of one service.
+RETRIES_PER_S = 0.02
+
+
+def make_platform_adapter(settings: PlatformSettings) -> Adapter:
+    """Return the platform's store, instances and retry terms for a node."""
+    bounds = read_bounds(settings)
+    terms = RetryTerms(bounds.retry_budget_ratio * RETRY_RATIO_PART, RETRIES_PER_S, RETRY_BURST)
+    return Adapter(
+        table=make_store_table(read_endpoint(settings.store)),
+        dialect=make_instance_dialect(),
+        retry_terms=terms,
+        budget_by_service=True,
+        adaptive_limit=False,
+        run_rules=run_rule_feed,
+    )
+
+
+def platform_parts(node: Node, settings: PlatformSettings) -> list[Awaitable[None]]:
+    """Return the tasks that serve the platform's ports."""
+    check_ins = make_check_ins(read_endpoint(settings.target))
+    ports = (
+        (settings.requests, partial(serve_client, node)),
+        (settings.check_ins, partial(serve_check_ins, check_ins, node)),
+        (settings.readiness, partial(serve_readiness, node)),
+    )
+    return [accept_streams(_listen(text), serve) for text, serve in ports]
+
+
+def _listen(text: str):
+    endpoint = read_endpoint(text)
+    return listen(endpoint.address, endpoint.port)
--- a/src/pollenbay/queries/delta.py
+++ b/src/pollenbay/queries/delta.py
@@ -42,6 +42,7 @@
         published_at=rules.published_at,
         order=tuple(rule.service for rule in rules.services),
         changed=tuple(changed),
+        routes=rules.routes,
     )
 
 
@@ -62,6 +63,7 @@
         author=answer.author,
         published_at=answer.published_at,
         services=tuple(known[service] for service in answer.order),
+        routes=answer.routes,
     )
 
 
--- a/src/pollenbay/rule.py
+++ b/src/pollenbay/rule.py
@@ -41,6 +41,37 @@
     calls: tuple[CallRule, ...]
 
 
+class Destination(Struct, frozen=True, forbid_unknown_fields=True):
+    """A service that serves a route.
+
+    :param weight: its part of the requests, relative to the other destinations of the route.
+    """
+
+    service: ServiceName
+    weight: float = 1.0
+
+
+class Route(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
+    """Rule for the requests that host name and path select, whichever service serves them.
+
+    :param host: value of the request's host header, without a port.
+    :param prefix: start of the path; begins and ends with a slash.
+    :param objective_ms: time within which an answer has its full value, in milliseconds.
+    :param attempts: targets to which one request may be sent.
+    :param destinations: services that share the requests by weight.
+    """
+
+    name: CallName
+    host: str
+    prefix: str
+    call_class: CallClass
+    idempotent: bool
+    wait_ms: int
+    objective_ms: int
+    attempts: int
+    destinations: tuple[Destination, ...]
+
+
 class RuleSet(Struct, frozen=True, kw_only=True):
     """Everything published in one version.
 
@@ -49,6 +80,7 @@
     :param author: who published it.
     :param published_at: seconds since the epoch, by the publisher's clock.
     :param services: rules of all services.
+    :param routes: rules of all routes, where requests are selected by host and path.
     """
 
     version: RuleVersion
@@ -56,6 +88,7 @@
     author: OperatorId
     published_at: float
     services: tuple[ServiceRule, ...]
+    routes: tuple[Route, ...] = ()
 
 
 EMPTY_RULES = RuleSet(
--- a/src/pollenbay/rulebook.py
+++ b/src/pollenbay/rulebook.py
@@ -1,7 +1,7 @@
 """The rules in force on a node, indexed for the calls."""
 
 from pollenbay.ids import CallName, RuleVersion, ServiceName
-from pollenbay.rule import EMPTY_RULES, CallRule, RuleSet, ServiceRule
+from pollenbay.rule import EMPTY_RULES, CallRule, Route, RuleSet, ServiceRule
 from pollenbay.states import AdoptionRefusal
 
 
@@ -13,6 +13,7 @@
         self._adopted_at = 0.0
         self._services: dict[ServiceName, ServiceRule] = {}
         self._calls: dict[tuple[ServiceName, CallName], CallRule] = {}
+        self._routes: dict[str, list[Route]] = {}
         self._refusals = dict.fromkeys(AdoptionRefusal, 0)
 
     @property
@@ -40,6 +41,11 @@
         """Return the rules by service and call."""
         return self._calls
 
+    @property
+    def routes(self) -> dict[str, list[Route]]:
+        """Return the routes by host, those with the longest prefix first."""
+        return self._routes
+
     @property
     def refusals(self) -> dict[AdoptionRefusal, int]:
         """Return how many rule sets were refused, by why."""
@@ -59,6 +65,14 @@
             for service in rules.services
             for call in service.calls
         }
+        self._routes = _by_host(rules.routes)
+
+
+def _by_host(routes: tuple[Route, ...]) -> dict[str, list[Route]]:
+    by_host: dict[str, list[Route]] = {}
+    for route in sorted(routes, key=lambda each: len(each.prefix), reverse=True):
+        by_host.setdefault(route.host, []).append(route)
+    return by_host
 
 
 def make_rulebook() -> Rulebook:
--- a/src/pollenbay/rulerow.py
+++ b/src/pollenbay/rulerow.py
@@ -9,7 +9,7 @@
 
 from pollenbay.ids import Digest, OperatorId, PublicationId, RowKey, RuleVersion
 from pollenbay.publication import HistoryEntry, PublicationRecord
-from pollenbay.rule import RuleSet, ServiceRule
+from pollenbay.rule import Route, RuleSet, ServiceRule
 
 CURRENT_KEY = RowKey("rules/current")
 HISTORY_PREFIX = "rules/history/"
@@ -57,9 +57,15 @@
     return _decode(_RECORD_DECODER, value)
 
 
-def services_digest(services: tuple[ServiceRule, ...]) -> Digest:
-    """Return the SHA-256 of the encoded services in the order of their names, in hexadecimal."""
-    return Digest(sha256(_ENCODER.encode(sorted_services(services))).hexdigest())
+def services_digest(services: tuple[ServiceRule, ...], routes: tuple[Route, ...] = ()) -> Digest:
+    """Return the SHA-256 of the encoded services and routes, in hexadecimal.
+
+    Services count in the order of their names, routes as they stand.
+    """
+    encoded = _ENCODER.encode(sorted_services(services))
+    if routes:
+        encoded += _ENCODER.encode(routes)
+    return Digest(sha256(encoded).hexdigest())
 
 
 def sorted_services(services: tuple[ServiceRule, ...]) -> tuple[ServiceRule, ...]:
@@ -72,6 +78,7 @@
     services: tuple[ServiceRule, ...],
     author: OperatorId,
     published_at: float,
+    routes: tuple[Route, ...] = (),
 ) -> RuleSet:
     """Return a rule set with its services sorted and its digest filled in.
 
@@ -79,10 +86,11 @@
     """
     return RuleSet(
         version=version,
-        digest=services_digest(services),
+        digest=services_digest(services, routes),
         author=author,
         published_at=published_at,
         services=sorted_services(services),
+        routes=routes,
     )
 
 
--- a/src/pollenbay/settings.py
+++ b/src/pollenbay/settings.py
@@ -15,6 +15,7 @@
 from pollenbay.http1 import BODY_LIMIT_BYTES
 from pollenbay.ids import HostId, InstanceId, RegionId, ServiceName, ZoneId
 from pollenbay.table import TABLE_TIMEOUT_S
+from pollenbay.target import ANNOUNCEMENT_LEASE_S
 
 DRAIN_S = 30.0
 LEAVE_S = 2.0
@@ -99,10 +100,15 @@
     :param region: region of the zone.
     :param service: service of the target beside the node.
     :param address: IP number at which the node listens and others reach it.
-    :param admin_token: bearer token of operators, of 16 characters or more.
+    :param table: the platform's table service, where this project's own interface is spoken.
+    :param platform: settings of the adapter, where the interfaces of users' platform are spoken;
+        `pollenbay.platform.settings` checks them.
+    :param admin_token: bearer token of operators, of 16 characters or more; none lets nobody in,
+        which only a deployment on the users' platform may choose.
     :param peers: gossip addresses as ``address:port``, to join while the table is down.
     :param drain_s: longest time in seconds that a planned stop waits for calls in flight.
     :param leave_s: seconds from the announcement of leaving until new work is refused.
+    :param target_lease_s: seconds after which a target that has not announced itself is absent.
     :param log_level: level of the log lines, as in Python's logging.
     """
 
@@ -112,14 +118,16 @@
     region: RegionId
     service: ServiceName
     address: str
-    table: TableSettings
-    admin_token: str
+    admin_token: str = ""
+    table: TableSettings | None = None
+    platform: dict[str, object] | None = None
     ports: Ports = field(default_factory=Ports)
     advertised: AdvertisedPorts = field(default_factory=AdvertisedPorts)
     limits: Limits = field(default_factory=Limits)
     peers: tuple[str, ...] = ()
     drain_s: float = DRAIN_S
     leave_s: float = LEAVE_S
+    target_lease_s: float = ANNOUNCEMENT_LEASE_S
     log_level: str = "INFO"
 
 
@@ -159,7 +167,9 @@
 
 
 def _address_problems(settings: Settings) -> Iterator[str]:
-    addresses = {"address": settings.address, "table.address": settings.table.address}
+    addresses = {"address": settings.address}
+    if settings.table is not None:
+        addresses["table.address"] = settings.table.address
     for key, address in addresses.items():
         if not _is_address(address):
             yield f"expected an IPv4 number - at `$.{key}`"
@@ -172,18 +182,21 @@
 def _port_problems(settings: Settings) -> Iterator[str]:
     ports = {f"ports.{name}": port for name, port in asdict(settings.ports).items()}
     told = {f"advertised.{name}": port for name, port in asdict(settings.advertised).items()}
-    for key, port in {**ports, **told, "table.port": settings.table.port}.items():
+    table = {} if settings.table is None else {"table.port": settings.table.port}
+    for key, port in {**ports, **told, **table}.items():
         if not 0 <= port <= PORT_MAX:
             yield f"expected a port from 0 to {PORT_MAX} - at `$.{key}`"
 
 
 def _range_problems(settings: Settings) -> Iterator[str]:
     more_than_zero = {
-        "table.timeout_s": settings.table.timeout_s,
+        "target_lease_s": settings.target_lease_s,
         "limits.body_bytes": settings.limits.body_bytes,
         "limits.caller_connections": settings.limits.caller_connections,
         "limits.caller_idle_s": settings.limits.caller_idle_s,
     }
+    if settings.table is not None:
+        more_than_zero["table.timeout_s"] = settings.table.timeout_s
     for key, value in more_than_zero.items():
         if not 0 < value < inf:
             yield f"expected more than 0 - at `$.{key}`"
@@ -193,15 +206,22 @@
 
 
 def _text_problems(settings: Settings) -> Iterator[str]:
+    if (settings.table is None) == (settings.platform is None):
+        yield "expected either a table or a platform - at `$.table`"
     for key in ("instance", "host", "zone", "region", "service"):
         if not getattr(settings, key):
             yield f"expected a name - at `$.{key}`"
-    if len(settings.admin_token) < TOKEN_LENGTH_MIN:
+    if len(settings.admin_token) < TOKEN_LENGTH_MIN and not _is_without_operators(settings):
         yield f"expected {TOKEN_LENGTH_MIN} characters or more - at `$.admin_token`"
     if settings.log_level not in getLevelNamesMapping():
         yield "expected a level such as INFO - at `$.log_level`"
 
 
+def _is_without_operators(settings: Settings) -> bool:
+    """Tell whether operators publish elsewhere, so that no token lets them in here."""
+    return settings.platform is not None and not settings.admin_token
+
+
 def _is_address(text: str) -> bool:
     try:
         IPv4Address(text)
--- a/src/pollenbay/states.py
+++ b/src/pollenbay/states.py
@@ -74,6 +74,7 @@
     NOT_READY = "not-ready"
     NO_TARGET = "no-target"
     CONNECT_FAILED = "connect-failed"
+    TARGET_REFUSED = "target-refused"
     UNKNOWN_CALL = "unknown-call"
     BAD_REQUEST = "bad-request"
     BAD_CONTEXT = "bad-context"
--- a/src/pollenbay/table.py
+++ b/src/pollenbay/table.py
@@ -4,6 +4,7 @@
 and ``GET /table/rows`` read.
 """
 
+from typing import Protocol
 from urllib.parse import quote
 
 from curio import TaskTimeout, timeout_after
@@ -76,46 +77,99 @@
     rows: list[Row]
 
 
+class TableEncoding(Protocol):
+    """How requests to a table service are written in HTTP and its responses read."""
+
+    def read_row(self, key: RowKey) -> str:
+        """Return the target of a request for one row."""
+
+    def read_rows(self, prefix: str, after: str, limit: int) -> str:
+        """Return the target of a request for rows by prefix, past a key.
+
+        The response may hold a few others besides.
+        """
+
+    def write(self, checks: list[Check], writes: list[Write]) -> HttpRequest:
+        """Return the request that applies writes if all checks hold, without host header."""
+
+    def rows_of(self, response: HttpResponse) -> Result[list[Row], TableError]:
+        """Return the rows in a response to a read."""
+
+    def is_conflict(self, response: HttpResponse) -> bool:
+        """Tell whether a response to a write says that a check failed."""
+
+
+class PlainEncoding:
+    """The interface that this project's stand-in serves."""
+
+    def read_row(self, key: RowKey) -> str:
+        """Return the target of a request for one row."""
+        return f"/table/row?key={quote(key, safe='')}"
+
+    def read_rows(self, prefix: str, after: str, limit: int) -> str:
+        """Return the target of a request for rows by prefix, past a key."""
+        query = f"prefix={quote(prefix, safe='')}&after={quote(after, safe='')}&limit={limit}"
+        return f"/table/rows?{query}"
+
+    def write(self, checks: list[Check], writes: list[Write]) -> HttpRequest:
+        """Return the request that applies writes if all checks hold."""
+        return HttpRequest(b"POST", b"/table/transact", [], encode(Transaction(checks, writes)))
+
+    def rows_of(self, response: HttpResponse) -> Result[list[Row], TableError]:
+        """Return the rows in a response to a read."""
+        if response.status != STATUS_OK:
+            return Err(TableUnavailableError(f"status {response.status}"))
+        try:
+            return Ok(decode(response.body, type=Rows).rows)
+        except (DecodeError, ValidationError) as error:
+            return Err(TableUnavailableError(str(error)))
+
+    def is_conflict(self, response: HttpResponse) -> bool:
+        """Tell whether a response to a write says that a check failed."""
+        return response.status == STATUS_CONFLICT
+
+
 class Table:
     """Client that keeps a few connections.
 
     :param address: IP number of the service.
     :param timeout_s: seconds after which an answer counts as lost.
+    :param encoding: how the service is spoken to.
     """
 
-    def __init__(self, address: str, port: int, timeout_s: float = TABLE_TIMEOUT_S) -> None:
+    def __init__(self, address: str, port: int, timeout_s: float, encoding: TableEncoding) -> None:
         self._address = address
         self._port = port
         self._timeout_s = timeout_s
+        self._encoding = encoding
         self._idle: list[HttpClient] = []
 
     async def get(self, key: RowKey) -> Result[Row | None, TableError]:
         """Read one row; Ok(None) if it is absent."""
-        result = await self._read(f"/table/row?key={quote(key, safe='')}")
-        return result.map(lambda rows: rows[0] if rows else None)
+        result = await self._read(self._encoding.read_row(key))
+        return result.map(lambda rows: next((row for row in rows if row.key == key), None))
 
     async def scan(
         self, prefix: str, after: str = "", limit: int = SCAN_LIMIT_ROWS
     ) -> Result[list[Row], TableError]:
         """Read up to `limit` rows whose key starts with `prefix` and is past `after`, by key."""
-        query = f"prefix={quote(prefix, safe='')}&after={quote(after, safe='')}&limit={limit}"
-        return await self._read(f"/table/rows?{query}")
+        result = await self._read(self._encoding.read_rows(prefix, after, limit))
+        return result.map(lambda rows: [row for row in rows if _is_in(row, prefix, after)][:limit])
 
     async def transact(
         self, checks: list[Check], writes: list[Write]
     ) -> Result[None, TableConflictError | TableUnavailableError | TableUnknownError]:
         """Apply all writes if all checks hold."""
-        body = encode(Transaction(checks, writes))
-        request = HttpRequest(b"POST", b"/table/transact", self._headers(), body)
+        request = self._encoding.write(checks, writes)
         try:
-            response = await timeout_after(self._timeout_s, self._exchange, request)
+            response = await timeout_after(self._timeout_s, self.exchange, request)
         except HttpConnectError as error:
             return Err(TableUnavailableError(str(error)))
         except (HttpError, TaskTimeout) as error:
             return Err(TableUnknownError(str(error)))
         if response.status == STATUS_OK:
             return Ok(None)
-        if response.status == STATUS_CONFLICT:
+        if self._encoding.is_conflict(response):
             return Err(TableConflictError(response.body.decode("utf-8", "replace")))
         return Err(TableUnavailableError(f"status {response.status}"))
 
@@ -125,17 +179,19 @@
             await self._idle.pop().close()
 
     async def _read(self, target: str) -> Result[list[Row], TableError]:
-        request = HttpRequest(b"GET", target.encode("ascii"), self._headers())
+        request = HttpRequest(b"GET", target.encode("ascii"), [])
         try:
-            response = await timeout_after(self._timeout_s, self._exchange, request)
+            response = await timeout_after(self._timeout_s, self.exchange, request)
         except (HttpError, TaskTimeout) as error:
             return Err(TableUnavailableError(f"{type(error).__name__}: {error}"))
-        return _decode_rows(response)
+        return self._encoding.rows_of(response)
 
-    def _headers(self) -> list[tuple[bytes, bytes]]:
-        return [(b"host", f"{self._address}:{self._port}".encode("ascii"))]
+    async def exchange(self, request: HttpRequest) -> HttpResponse:
+        """Send a request without host header and return the whole response, however late.
 
-    async def _exchange(self, request: HttpRequest) -> HttpResponse:
+        :raises HttpError: if there is none.
+        """
+        request.headers.insert(0, (b"host", f"{self._address}:{self._port}".encode("ascii")))
         client = await self._connection()
         try:
             response = await client.exchange(request)
@@ -160,15 +216,15 @@
             await client.close()
 
 
-def make_table(address: str, port: int, timeout_s: float = TABLE_TIMEOUT_S) -> Table:
-    """Return a client; it connects at its first use."""
-    return Table(address, port, timeout_s)
+def _is_in(row: Row, prefix: str, after: str) -> bool:
+    return row.key.startswith(prefix) and row.key > after
 
 
-def _decode_rows(response: HttpResponse) -> Result[list[Row], TableError]:
-    if response.status != STATUS_OK:
-        return Err(TableUnavailableError(f"status {response.status}"))
-    try:
-        return Ok(decode(response.body, type=Rows).rows)
-    except (DecodeError, ValidationError) as error:
-        return Err(TableUnavailableError(str(error)))
+def make_table(
+    address: str,
+    port: int,
+    timeout_s: float = TABLE_TIMEOUT_S,
+    encoding: TableEncoding | None = None,
+) -> Table:
+    """Return a client; it connects at its first use."""
+    return Table(address, port, timeout_s, encoding or PlainEncoding())
--- a/src/pollenbay/target.py
+++ b/src/pollenbay/target.py
@@ -1,8 +1,11 @@
 """The target beside the node: what it last announced, and the connections kept to it."""
 
+from functools import partial
+
 from curio import TaskTimeout, timeout_after
 
 from pollenbay.call import Call
+from pollenbay.dialect import DialectError, TargetDialect
 from pollenbay.http1 import (
     HttpAnswerError,
     HttpConnectError,
@@ -10,15 +13,15 @@
     HttpRequest,
     HttpResponse,
 )
-from pollenbay.httpclient import HttpClient, connect_http
-from pollenbay.ids import ContextKey
-from pollenbay.outcome import Answered
+from pollenbay.httpclient import Belongs, HttpClient, connect_http
+from pollenbay.ids import ContextKey, TargetId
+from pollenbay.outcome import Answered, NotRun
 from pollenbay.states import Reason, TargetState
-from pollenbay.translation import answer_from_target, request_to_target
 
 #: A target that has not announced itself for longer counts as absent.
 ANNOUNCEMENT_LEASE_S = 3.0
 KEPT_CONNECTIONS = 256
+UNNAMED = TargetId("")
 
 
 class TargetError(Exception):
@@ -44,10 +47,13 @@
     """State of the one target beside this node.
 
     :param body_limit_bytes: longest answer that is taken.
+    :param dialect: how it is spoken to.
     """
 
-    def __init__(self, body_limit_bytes: int) -> None:
+    def __init__(self, body_limit_bytes: int, dialect: TargetDialect) -> None:
         self._body_limit_bytes = body_limit_bytes
+        self._dialect = dialect
+        self._name = UNNAMED
         self._state = TargetState.ABSENT
         self._address = ""
         self._port = 0
@@ -59,6 +65,11 @@
         """Return the state as last heard."""
         return self._state
 
+    @property
+    def name(self) -> TargetId:
+        """Return how the present run of the target names itself."""
+        return self._name
+
     @property
     def endpoint(self) -> tuple[str, int]:
         """Return address and port; empty before the first announcement."""
@@ -69,10 +80,18 @@
         """Return monotonic seconds of the last announcement."""
         return self._heard_at
 
-    def update(self, state: TargetState, address: str, port: int, now: float) -> None:
-        """Take over an announcement; connections to another endpoint are not used again."""
-        if (address, port) != self.endpoint:
+    def update(
+        self,
+        state: TargetState,
+        address: str,
+        port: int,
+        now: float,
+        name: TargetId = UNNAMED,
+    ) -> None:
+        """Take over an announcement; connections to another run or endpoint are not used again."""
+        if (address, port) != self.endpoint or name != self._name:
             self._idle.clear()
+        self._name = name
         self._state = state
         self._address = address
         self._port = port
@@ -93,7 +112,9 @@
                 return client
             await client.close()
         try:
-            return await connect_http(self._address, self._port, self._body_limit_bytes)
+            return await connect_http(
+                self._address, self._port, self._body_limit_bytes, self._dialect.unframed
+            )
         except HttpConnectError as error:
             raise TargetConnectError(Reason.CONNECT_FAILED) from error
 
@@ -112,8 +133,8 @@
         context: ContextKey,
         time_left_s: float,
         limit_s: float,
-    ) -> Answered:
-        """Send a call on a connection and return the whole answer.
+    ) -> Answered | NotRun:
+        """Send a call on a connection and return what the target answers.
 
         A connection that does not end cleanly is closed, which tells the target to give up.
 
@@ -121,19 +142,30 @@
         :param limit_s: seconds after which the answer is awaited no longer.
         :raises TargetAnswerError: if there is no whole answer.
         """
-        request = request_to_target(call, context, time_left_s, self.endpoint)
+        dialect = self._dialect
+        request = dialect.request(call, context, time_left_s, self.endpoint, self._name)
         try:
-            response = await _exchange(client, request, limit_s)
+            response = await _exchange(client, request, limit_s, partial(dialect.belongs, call))
+            outcome = _read(dialect, call, response)
         except BaseException:
             await client.close()
             raise
         await self.keep(client)
-        return answer_from_target(response)
+        return outcome
+
+
+def _read(dialect: TargetDialect, call: Call, response: HttpResponse) -> Answered | NotRun:
+    try:
+        return dialect.outcome(call, response)
+    except DialectError as error:
+        raise TargetAnswerError(Reason.ANSWER_BROKEN) from error
 
 
-async def _exchange(client: HttpClient, request: HttpRequest, limit_s: float) -> HttpResponse:
+async def _exchange(
+    client: HttpClient, request: HttpRequest, limit_s: float, belongs: Belongs
+) -> HttpResponse:
     try:
-        return await timeout_after(limit_s, client.exchange, request)
+        return await timeout_after(limit_s, client.exchange, request, belongs)
     except TaskTimeout as error:
         raise TargetAnswerError(Reason.DEADLINE) from error
     except HttpExchangeError as error:
@@ -142,6 +174,6 @@
         raise TargetAnswerError(Reason.ANSWER_BROKEN) from error
 
 
-def make_target(body_limit_bytes: int) -> Target:
+def make_target(body_limit_bytes: int, dialect: TargetDialect) -> Target:
     """Return a target that has not announced itself."""
-    return Target(body_limit_bytes)
+    return Target(body_limit_bytes, dialect)
--- a/src/pollenbay/translation.py
+++ b/src/pollenbay/translation.py
@@ -7,7 +7,14 @@
 
 from pollenbay.call import Asked, Call
 from pollenbay.http1 import HttpRequest, HttpResponse, end_to_end_headers, header_value
-from pollenbay.ids import CallerId, CallName, ContextKey, IdempotencyKey, ServiceName
+from pollenbay.ids import (
+    CallerId,
+    CallName,
+    ContextKey,
+    IdempotencyKey,
+    ServiceName,
+    TargetId,
+)
 from pollenbay.outcome import Answered, Headers, NotRun, Outcome, Unknown
 from pollenbay.states import Reason
 
@@ -73,6 +80,36 @@
     )
 
 
+class PlainDialect:
+    """Targets that speak this project's own headers."""
+
+    unframed = False
+
+    def request(
+        self,
+        call: Call,
+        context: ContextKey,
+        time_left_s: float,
+        endpoint: tuple[str, int],
+        target: TargetId,
+    ) -> HttpRequest:
+        """Return the request that carries a call to its target."""
+        return request_to_target(call, context, time_left_s, endpoint)
+
+    def belongs(self, call: Call, response: HttpResponse) -> bool:
+        """Take every response, since one connection carries one call at a time."""
+        return True
+
+    def outcome(self, call: Call, response: HttpResponse) -> Answered:
+        """Take every whole response as the answer."""
+        return answer_from_target(response)
+
+
+def make_plain_dialect() -> PlainDialect:
+    """Return the dialect of this project's own headers."""
+    return PlainDialect()
+
+
 def request_to_target(
     call: Call, context: ContextKey, time_left_s: float, endpoint: tuple[str, int]
 ) -> HttpRequest:
