Turn requests away at the entry by the level that saturated services tell

Change: the node beside a target measures saturation and sets a level; levels come back with replies, hop by hop; entries let in a part of each class by it. Routes that callers use are told from inner ones by the services beside which they enter; routes that do not fail under saturation below are not held back. The store's feed waits longer with more nodes; link buffers begin at 4 KiB.

--- a/src/pollenbay/commands/calling.py
+++ b/src/pollenbay/commands/calling.py
@@ -6,7 +6,9 @@
 from pollenbay.call import Call, Entrance, Passage
 from pollenbay.commands.retry import give_back, hand_out, note_first, take_turn
 from pollenbay.commands.routing import begin_attempt, end_attempt, pick
+from pollenbay.commands.saturation import hear_levels
 from pollenbay.commands.serving import serve
+from pollenbay.commands.throttle import note_entry
 from pollenbay.ids import InstanceId, make_call_id
 from pollenbay.link import (
     Link,
@@ -21,6 +23,8 @@
     AnyLinkMessage,
     CallMessage,
     ProgressMessage,
+    ReplyMessage,
+    Told,
     make_call_message,
     outcome_of,
 )
@@ -180,7 +184,7 @@
     message = make_call_message(call, make_call_id(), _link_time_s(node, call), allowance)
     passage.sent = True
     try:
-        outcome = await _ask(node, call, link, message)
+        reply = await _ask(node, call, link, message)
     except LinkDeadlineError:
         await link.close()
         return Unknown(Reason.DEADLINE)
@@ -192,7 +196,15 @@
         await link.close()
         raise
     await node.links.give(address, port, link, node.timer.now())
-    return outcome
+    if reply.told is not None:
+        _hear(node, call, member, reply.told)
+    return outcome_of(reply)
+
+
+def _hear(node: Node, call: Call, member: Member, told: Told) -> None:
+    now = node.timer.now()
+    hear_levels(node.saturation, member.instance, member.service, told.levels, now)
+    note_entry(node.throttle, call.name, told.is_entry)
 
 
 def _unknown(node: Node, error: LinkError) -> Unknown:
@@ -208,8 +220,8 @@
     return max(call.deadline - node.timer.now() - RETURN_MARGIN_S, 0.0)
 
 
-async def _ask(node: Node, call: Call, link: Link, message: CallMessage) -> Outcome:
-    """Send a call on a link and return its outcome.
+async def _ask(node: Node, call: Call, link: Link, message: CallMessage) -> ReplyMessage:
+    """Send a call on a link and return the reply.
 
     :raises LinkError: if the link broke, went silent or brought something else.
     """
@@ -220,7 +232,7 @@
         if reply.call_id != message.call_id or isinstance(reply, CallMessage):
             raise LinkMessageError("not a reply to this call")
         if not isinstance(reply, ProgressMessage):
-            return outcome_of(reply)
+            return reply
         heard_at = node.timer.now()
 
 
--- a/src/pollenbay/commands/entry.py
+++ b/src/pollenbay/commands/entry.py
@@ -5,16 +5,21 @@
 from pollenbay.account import make_account
 from pollenbay.call import Asked, Call, Entrance, Passage, RouteAsked
 from pollenbay.commands.calling import place, place_at_service
+from pollenbay.commands.throttle import note_end, note_entry
 from pollenbay.contexts import Context
 from pollenbay.ids import CallerId, make_request_id
 from pollenbay.node import Node
-from pollenbay.outcome import NotRun, Outcome, Unknown
+from pollenbay.outcome import Answered, NotRun, Outcome, Unknown
 from pollenbay.queries.routes import choose_destination, find_route
 from pollenbay.queries.rules import find_call
+from pollenbay.queries.saturation import level_of, services_below
+from pollenbay.queries.throttle import admitted_part, retry_after_s
 from pollenbay.rule import CallRule, Route
+from pollenbay.saturation import FULL_LEVEL
 from pollenbay.states import Reason
 
 MS_PER_S = 1000.0
+STATUS_SERVER_ERROR = 500
 #: Other targets tried for one request after refusals, which cost a few milliseconds each.
 FREE_REFUSALS = 2
 #: A node that has just started gets its rules within about this time.
@@ -71,6 +76,47 @@
     if route is None:
         return NotRun(Reason.UNKNOWN_CALL)
     call = _make_routed_call(node, asked, route)
+    refusal = _hold_back(node, call, route)
+    if refusal is not None:
+        return refusal
+    outcome = await _place_in_time(node, call, route, passage)
+    _note_end(node, call, outcome)
+    return outcome
+
+
+def _hold_back(node: Node, call: Call, route: Route) -> NotRun | None:
+    """Refuse a part of the callers' requests while a service below has too little room."""
+    now = node.timer.now()
+    if call.service == node.settings.service:
+        services = len(node.rulebook.services)
+        note_entry(node.throttle, call.name, node.origins.is_entry(call.name, services, now))
+    if node.throttle.entries.get(call.name) is False:
+        node.called[call.service] = now
+        return None
+    level = level_of(node.saturation, call.service, now)
+    below = _level_below(node, call, now)
+    part = admitted_part(node.throttle, call.name, call.call_class, level, below, now)
+    if part >= 1.0 or node.random.random() < part:
+        return None
+    wait_s = retry_after_s(route.objective_ms / MS_PER_S, node.random.random())
+    node.metrics.note_refusal(call.call_class, Reason.DOWNSTREAM_OVERLOAD)
+    return NotRun(Reason.DOWNSTREAM_OVERLOAD, wait_s)
+
+
+def _note_end(node: Node, call: Call, outcome: Outcome) -> None:
+    now = node.timer.now()
+    if _level_below(node, call, now) < FULL_LEVEL:
+        failed = not isinstance(outcome, Answered) or outcome.status >= STATUS_SERVER_ERROR
+        note_end(node.throttle, call.name, failed, now)
+
+
+def _level_below(node: Node, call: Call, now: float) -> float:
+    below = services_below(node.saturation, call.service, now)
+    levels = (level_of(node.saturation, each, now) for each in below)
+    return min(levels, default=FULL_LEVEL)
+
+
+async def _place_in_time(node: Node, call: Call, route: Route, passage: Passage) -> Outcome:
     account = make_account(route.attempts - 1, call.deadline, FREE_REFUSALS)
     wait_s = call.deadline - node.timer.now()
     try:
--- a/src/pollenbay/commands/serving.py
+++ b/src/pollenbay/commands/serving.py
@@ -54,11 +54,14 @@
 
 
 async def _serve(node: Node, call: Call, allowance: int, passage: Passage) -> Outcome:
+    node.origins.note(call.name, call.origin, node.timer.now())
+    node.saturation.arrive()
     reason = _reason_to_refuse(node, call)
     if reason is not None:
         return NotRun(reason, RETRY_AFTER_S, allowance)
     verdict = await _enter(node, call)
     if isinstance(verdict, Refusal):
+        node.saturation.refuse()
         return NotRun(verdict.reason, verdict.retry_after_s, allowance)
     return await _serve_admitted(node, call, allowance, passage, verdict)
 
--- a/src/pollenbay/commands/upkeep.py
+++ b/src/pollenbay/commands/upkeep.py
@@ -5,10 +5,13 @@
 from pollenbay.commands.gossiping import announce_absent, announce_serving, report_load
 from pollenbay.commands.life import change_state
 from pollenbay.commands.routing import forget_gone
+from pollenbay.commands.saturation import forget_tellers, hear_levels, measure
 from pollenbay.commands.serving import wake
+from pollenbay.commands.throttle import forget_routes
 from pollenbay.metrics import IN_FLIGHT, LIMIT, MEMBERS, QUEUED, RULE_VERSION
 from pollenbay.node import Node
 from pollenbay.queries.admission import load
+from pollenbay.queries.telling import own_levels
 from pollenbay.states import NodeState, TargetState
 
 UPKEEP_PERIOD_S = 0.1
@@ -26,9 +29,26 @@
         expire_target(node, node.timer.now())
         _become_ready(node)
         _report(node)
+        _steer(node)
         rounds += 1
         if rounds % ROUNDS_PER_CLEARING == 0:
-            forget_gone(node.scores, node.view)
+            _forget(node)
+
+
+def _steer(node: Node) -> None:
+    """Measure the own target and set the level of demand that it can take."""
+    now = node.timer.now()
+    me, service = node.settings.instance, node.settings.service
+    measure(node.saturation, node.gate, UPKEEP_PERIOD_S)
+    hear_levels(node.saturation, me, service, own_levels(node, now), now)
+
+
+def _forget(node: Node) -> None:
+    forget_gone(node.scores, node.view)
+    forget_tellers(node.saturation, set(node.view.members))
+    routes = {route.name for route in node.rulebook.rules.routes}
+    forget_routes(node.throttle, routes)
+    node.origins.keep_only(routes)
 
 
 def _become_ready(node: Node) -> None:
--- a/src/pollenbay/link.py
+++ b/src/pollenbay/link.py
@@ -18,6 +18,8 @@
 RECEIVE_BYTES = 65536
 #: Longest message: a body at its limit with its headers.
 MESSAGE_LIMIT_BYTES = 16 * 1024 * 1024
+#: First size of a link's receive buffer; the library's own default is 1 MiB for each link.
+BUFFER_BYTES = 4096
 KEPT_CONNECTIONS = 64
 #: A kept connection idle for longer is not trusted with a call.
 IDLE_LIMIT_S = 20.0
@@ -52,7 +54,9 @@
 
     def __init__(self, sock: Socket) -> None:
         self._sock = sock
-        self._unpacker = Unpacker(raw=False, max_buffer_size=MESSAGE_LIMIT_BYTES)
+        self._unpacker = Unpacker(
+            raw=False, read_size=BUFFER_BYTES, max_buffer_size=MESSAGE_LIMIT_BYTES
+        )
         self._encoder = Encoder()
 
     @property
--- a/src/pollenbay/linking.py
+++ b/src/pollenbay/linking.py
@@ -8,10 +8,13 @@
 from pollenbay.link import Link, LinkBrokenError, LinkMessageError
 from pollenbay.message import AnyLinkMessage, CallMessage, ReplyMessage, make_call, reply_to
 from pollenbay.node import Node
+from pollenbay.queries.telling import news_to_tell
 from pollenbay.watch import Watched, outcome_or_end
 
 SOURCE = "link"
 CALLS_PER_TURN = 8
+#: Least time between two replies on one link that tell how full targets are.
+TELL_GAP_S = 0.1
 
 
 async def serve_link(node: Node, sock: Socket) -> None:
@@ -27,9 +30,15 @@
 
 async def _serve_calls(node: Node, link: Link) -> None:
     served = 0
+    told_at = 0.0
     while (message := await link.receive()) is not None:
         call_message = _require_call(message)
-        await link.send(await _serve_call(node, link, call_message))
+        reply = await _serve_call(node, link, call_message)
+        now = node.timer.now()
+        if now - told_at >= TELL_GAP_S:
+            reply.told = news_to_tell(node, call_message.name, now)
+            told_at = now
+        await link.send(reply)
         served += 1
         if served % CALLS_PER_TURN == 0:
             await sleep(0)
--- a/src/pollenbay/message.py
+++ b/src/pollenbay/message.py
@@ -21,6 +21,18 @@
     call_id: CallId
 
 
+class Told(Struct, array_like=True, frozen=True, gc=False):
+    """What the node beside a target tells those that call it, besides the outcome.
+
+    :param is_entry: whether callers use the route of the call; None if not known.
+    :param levels: demand that its target and the services below it can take; see
+        `pollenbay.saturation`.
+    """
+
+    is_entry: bool | None
+    levels: tuple[tuple[ServiceName, float], ...]
+
+
 class CallMessage(LinkMessage, tag=1):
     """Ask the node beside a target to run a call.
 
@@ -52,6 +64,7 @@
     headers: Headers
     body: bytes
     allowance_left: int
+    told: Told | None = None
 
 
 class NotRunMessage(LinkMessage, tag=3):
@@ -60,6 +73,7 @@
     reason: Reason
     retry_after_s: float
     allowance_left: int
+    told: Told | None = None
 
 
 class UnknownMessage(LinkMessage, tag=4):
@@ -67,6 +81,7 @@
 
     reason: Reason
     allowance_left: int
+    told: Told | None = None
 
 
 class ProgressMessage(LinkMessage, tag=5):
--- a/src/pollenbay/node.py
+++ b/src/pollenbay/node.py
@@ -5,22 +5,25 @@
 
 from curio import Event
 
-from pollenbay.adapter import Adapter
+from pollenbay.adapter import Adapter, make_plain_adapter
 from pollenbay.budget import RetryBudgets, make_retry_budgets
 from pollenbay.contexts import Contexts, make_contexts
 from pollenbay.gate import Gate, make_gate
-from pollenbay.ids import Incarnation
+from pollenbay.ids import Incarnation, ServiceName
 from pollenbay.ledger import Ledger, make_ledger
 from pollenbay.link import LinkPool, make_link_pool
 from pollenbay.membership import Adopt, Membership, ReadRules, make_membership
 from pollenbay.metrics import Metrics, make_metrics
+from pollenbay.origins import Origins, make_origins
 from pollenbay.rule import DEFAULT_SLOTS
 from pollenbay.rulebook import Rulebook, make_rulebook
+from pollenbay.saturation import Saturation, make_saturation
 from pollenbay.score import Scores, make_scores
 from pollenbay.settings import Settings
 from pollenbay.states import NodeState
 from pollenbay.table import Table
 from pollenbay.target import Target, make_target
+from pollenbay.throttle import Throttle, make_throttle
 from pollenbay.timer import Timer, make_timer
 from pollenbay.view import Place, View, make_view
 from pollenbay.watch import Watch, make_watch
@@ -31,6 +34,10 @@
     """One node with its parts.
 
     :param state: life of the process; `pollenbay.commands.life` changes it.
+    :param saturation: how full targets are, here and below.
+    :param throttle: how much of the callers' requests is let in.
+    :param origins: where the requests at the own target come from.
+    :param called: services that the own target calls, with the monotonic seconds of the last call.
     :param refusing: whether new work is refused because the node is leaving.
     :param stopping: set when a planned stop was asked for.
     """
@@ -52,6 +59,10 @@
     membership: Membership
     metrics: Metrics
     random: Random
+    saturation: Saturation = field(default_factory=make_saturation)
+    throttle: Throttle = field(default_factory=make_throttle)
+    origins: Origins = field(default_factory=make_origins)
+    called: dict[ServiceName, float] = field(default_factory=dict)
     state: NodeState = NodeState.STARTING
     refusing: bool = False
     stopping: Event = field(default_factory=Event)
@@ -63,15 +74,20 @@
 
 
 def make_node(
-    settings: Settings, link_port: int, adopt: Adopt, read_rules: ReadRules, adapter: Adapter
+    settings: Settings,
+    link_port: int,
+    adopt: Adopt,
+    read_rules: ReadRules,
+    adapter: Adapter | None = None,
 ) -> Node:
     """Return a node that has not begun to serve.
 
     :param link_port: port at which other nodes' calls are taken.
     :param adopt: puts rules in force.
     :param read_rules: reads the rules that the table holds.
-    :param adapter: what the deployment brings.
+    :param adapter: what the deployment brings; by default this project's own interfaces.
     """
+    adapter = adapter or make_plain_adapter(settings.table)
     timer = make_timer()
     table = adapter.table
     rulebook, view = make_rulebook(), make_view()
--- a/src/pollenbay/platform/store.py
+++ b/src/pollenbay/platform/store.py
@@ -8,7 +8,7 @@
 from msgspec.json import decode, encode
 from result import Err, Ok, Result
 
-from pollenbay.commands.pulling import adopt_rules
+from pollenbay.commands.pulling import JITTER, adopt_rules
 from pollenbay.http1 import HttpError, HttpRequest, HttpResponse
 from pollenbay.ids import RowKey, RowVersion
 from pollenbay.membership import Membership
@@ -30,9 +30,13 @@
 STATUS_HISTORY_GONE = 410
 #: Longest answer to a read or a write, in seconds.
 STORE_TIMEOUT_S = 1.5
-#: How long the store is asked to hold a request for changes, in milliseconds. A connection that
-#: went silent is found one `FEED_SLACK_S` after this.
-FEED_WAIT_MS = 1500
+#: How long the store is asked to hold a request for changes. A request that is swallowed delays
+#: this node by as long; the others, whose requests end at other moments, then pass the news on, so
+#: the time grows with their number.
+FEED_WAIT_MIN_S = 1.0
+FEED_WAIT_MAX_S = 5.0
+FEED_WAIT_PER_MEMBER_S = 0.25
+#: How much later than asked for an answer of the store may come.
 FEED_SLACK_S = 0.7
 FEED_PAUSE_S = 0.25
 
@@ -126,7 +130,7 @@
     after: int | None = None
     reached = True
     while True:
-        result = await _next_rows(membership.table, after)
+        result = await _next_rows(membership.table, after, _feed_wait_s(membership))
         membership.table_asked = True
         if result.is_ok() != reached:
             reached = result.is_ok()
@@ -139,13 +143,21 @@
         after = result.ok_value.ver
 
 
-async def _next_rows(table: Table, after: int | None) -> Result[_StoreRows, TableError]:
+def _feed_wait_s(membership: Membership) -> float:
+    members = len(membership.view.members)
+    wait_s = members * FEED_WAIT_PER_MEMBER_S * membership.rng.uniform(*JITTER)
+    return min(max(wait_s, FEED_WAIT_MIN_S), FEED_WAIT_MAX_S)
+
+
+async def _next_rows(
+    table: Table, after: int | None, wait_s: float
+) -> Result[_StoreRows, TableError]:
     """Return the configuration as it stands, or what has changed after a version."""
     if after is None:
         target, limit_s = f"/rows-get?table={OPERATOR_TABLE}&part=&limit=10", STORE_TIMEOUT_S
     else:
-        target = f"/rows-feed?table={OPERATOR_TABLE}&after={after}&wait_ms={FEED_WAIT_MS}"
-        limit_s = FEED_WAIT_MS / 1000.0 + FEED_SLACK_S
+        target = f"/rows-feed?table={OPERATOR_TABLE}&after={after}&wait_ms={wait_s * 1000:.0f}"
+        limit_s = wait_s + FEED_SLACK_S
     request = HttpRequest(b"GET", target.encode("ascii"), [])
     try:
         response = await timeout_after(limit_s, table.exchange, request)
--- /dev/null
+++ b/src/pollenbay/queries/telling.py
@@ -0,0 +1,21 @@
+"""What a node tells with its replies of the target beside it and of the services below."""
+
+from pollenbay.ids import CallName, ServiceName
+from pollenbay.message import Told
+from pollenbay.node import Node
+from pollenbay.queries.saturation import levels_to_tell
+
+#: Services that the target called are remembered for so long.
+CALLED_VALID_S = 10.0
+
+
+def news_to_tell(node: Node, route: CallName, now: float) -> Told:
+    """Return what to tell a node that has called by a route."""
+    is_entry = node.origins.is_entry(route, len(node.rulebook.services), now)
+    return Told(is_entry, own_levels(node, now))
+
+
+def own_levels(node: Node, now: float) -> tuple[tuple[ServiceName, float], ...]:
+    """Return the levels of the own target and of the services below it."""
+    called = [each for each, at in node.called.items() if now - at < CALLED_VALID_S]
+    return levels_to_tell(node.saturation, node.settings.service, called, now)
--- a/src/pollenbay/reference.py
+++ b/src/pollenbay/reference.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from inspect import cleandoc
 from re import compile as compile_pattern
+from typing import get_args
 
 import click
 from msgspec import NODEFAULT, Struct
@@ -13,6 +14,7 @@
 from msgspec.structs import FieldInfo, fields
 
 from pollenbay.metrics import INSTRUMENTS, Instrument
+from pollenbay.platform.settings import PlatformSettings
 from pollenbay.settings import Settings
 
 PARAM = compile_pattern(r":param (\w+): ((?:.|\n(?!:))*)")
@@ -41,7 +43,8 @@
 
 def settings_page() -> str:
     """Return the page of the settings, in Markdown."""
-    return SETTINGS_HEAD + "".join(_settings_rows(Settings, ""))
+    rows = [*_settings_rows(Settings, ""), *_settings_rows(PlatformSettings, "platform.")]
+    return SETTINGS_HEAD + "".join(rows)
 
 
 def metrics_page() -> str:
@@ -58,13 +61,22 @@
     meanings = _meanings(struct)
     for field in fields(struct):
         key = prefix + field.encode_name
-        if isinstance(field.type, type) and issubclass(field.type, Struct):
-            yield from _settings_rows(field.type, f"{key}.")
+        part = _struct_in(field)
+        if part is not None:
+            yield from _settings_rows(part, f"{key}.")
         else:
             meaning = meanings.get(field.name, "")
             yield f"| `{key}` | {_type_name(field)} | {_default(field)} | {meaning} |\n"
 
 
+def _struct_in(field: FieldInfo) -> type[Struct] | None:
+    """Return the type of a part of the settings, optional or not; None for a plain value."""
+    for each in get_args(field.type) or (field.type,):
+        if isinstance(each, type) and issubclass(each, Struct):
+            return each
+    return None
+
+
 def _meanings(struct: type[Struct]) -> dict[str, str]:
     text = cleandoc(struct.__doc__ or "")
     return {name: " ".join(meaning.split()) for name, meaning in PARAM.findall(text)}
@@ -74,6 +86,8 @@
     base = getattr(field.type, "__supertype__", field.type)
     if base == tuple[str, ...]:
         return "list of text"
+    if dict in (getattr(each, "__origin__", None) for each in (base, *get_args(base))):
+        return "mapping"
     return {str: "text", int: "integer", float: "number", bool: "true or false"}[base]
 
 
