--- a/src/pollenbay/adapter.py
+++ b/src/pollenbay/adapter.py
@@ -7,11 +7,16 @@
 from pollenbay.commands.pulling import run_polls
 from pollenbay.dialect import TargetDialect
 from pollenbay.membership import Membership
-from pollenbay.settings import TableSettings
+from pollenbay.settings import Settings, TableSettings
 from pollenbay.table import Table, make_table
 from pollenbay.translation import make_plain_dialect
 
 
+def unchanged(settings: Settings) -> Settings:
+    """Return settings as they are."""
+    return settings
+
+
 @dataclass(frozen=True, slots=True)
 class Adapter:
     """The parts of a node that differ between deployments.
@@ -20,6 +25,7 @@
     :param budget_by_service: whether retries of each service are counted apart.
     :param adaptive_limit: whether the concurrency limit is searched for, or is the target's slots.
     :param run_rules: task that watches for newer rules.
+    :param adapt: returns settings with what follows from the deployment's own.
     """
 
     table: Table
@@ -28,6 +34,7 @@
     budget_by_service: bool
     adaptive_limit: bool
     run_rules: Callable[[Membership], Awaitable[None]]
+    adapt: Callable[[Settings], Settings] = unchanged
 
 
 def make_plain_adapter(settings: TableSettings) -> Adapter:
--- a/src/pollenbay/commands/calling.py
+++ b/src/pollenbay/commands/calling.py
@@ -5,7 +5,7 @@
 from pollenbay.account import Account
 from pollenbay.call import Call, Entrance, Passage
 from pollenbay.commands.retry import give_back, hand_out, note_first, take_turn
-from pollenbay.commands.routing import begin_attempt, end_attempt, pick
+from pollenbay.commands.routing import begin_attempt, end_attempt, note_taken, pick
 from pollenbay.commands.saturation import hear_levels
 from pollenbay.commands.serving import serve
 from pollenbay.commands.throttle import note_entry
@@ -94,8 +94,15 @@
 def _choose(node: Node, call: Call, excluded: frozenset[InstanceId]) -> Member | None:
     choice = _pick(node, call, excluded)
     if choice is None and excluded:
-        return _pick(node, call, frozenset())
-    return choice
+        choice = _pick(node, call, frozenset())
+    return choice or _own_target(node, call)
+
+
+def _own_target(node: Node, call: Call) -> Member | None:
+    """Return this node for a call that nobody else takes, while it still serves what arrives."""
+    if call.service != node.settings.service or node.refusing:
+        return None
+    return node.membership.me
 
 
 def _pick(node: Node, call: Call, excluded: frozenset[InstanceId]) -> Member | None:
@@ -204,7 +211,8 @@
 def _hear(node: Node, call: Call, member: Member, told: Told) -> None:
     now = node.timer.now()
     hear_levels(node.saturation, member.instance, member.service, told.levels, now)
-    note_entry(node.throttle, call.name, told.is_entry)
+    note_entry(node.throttle, call.name, told.is_entry, told.share)
+    note_taken(node.scores, member, told.taken, told.limit, now)
 
 
 def _unknown(node: Node, error: LinkError) -> Unknown:
--- a/src/pollenbay/commands/entry.py
+++ b/src/pollenbay/commands/entry.py
@@ -1,5 +1,7 @@
 """Entry of calls: from what was asked to a call with a deadline and an allowance of retries."""
 
+from functools import singledispatch
+
 from curio import TaskTimeout, timeout_after
 
 from pollenbay.account import make_account
@@ -24,6 +26,8 @@
 FREE_REFUSALS = 2
 #: A node that has just started gets its rules within about this time.
 NOT_READY_RETRY_S = 0.5
+#: Another node takes requests at once.
+MOVED_RETRY_S = 0.05
 #: Callers of routes are not told apart.
 ANY_CALLER = CallerId("")
 
@@ -76,6 +80,8 @@
     if route is None:
         return NotRun(Reason.UNKNOWN_CALL)
     call = _make_routed_call(node, asked, route)
+    if node.refusing and node.throttle.entries.get(route.name) is not False:
+        return NotRun(Reason.DRAINING, MOVED_RETRY_S)
     refusal = _hold_back(node, call, route)
     if refusal is not None:
         return refusal
@@ -89,7 +95,8 @@
     now = node.timer.now()
     if call.service == node.settings.service:
         services = len(node.rulebook.services)
-        note_entry(node.throttle, call.name, node.origins.is_entry(call.name, services, now))
+        is_entry = node.origins.is_entry(call.name, services, now)
+        note_entry(node.throttle, call.name, is_entry, node.origins.share(call.name))
     if node.throttle.entries.get(call.name) is False:
         node.called[call.service] = now
         return None
@@ -99,17 +106,63 @@
     if part >= 1.0 or node.random.random() < part:
         return None
     wait_s = retry_after_s(route.objective_ms / MS_PER_S, node.random.random())
+    fields = {
+        "request": call.request,
+        "route": call.name,
+        "rule_version": node.rulebook.version,
+        "level": level,
+        "level_below": below,
+        "admitted_part": part,
+        "retry_after_s": wait_s,
+    }
+    node.decisions.write("held back at the entry", fields)
     node.metrics.note_refusal(call.call_class, Reason.DOWNSTREAM_OVERLOAD)
     return NotRun(Reason.DOWNSTREAM_OVERLOAD, wait_s)
 
 
 def _note_end(node: Node, call: Call, outcome: Outcome) -> None:
     now = node.timer.now()
+    failed = not isinstance(outcome, Answered) or outcome.status >= STATUS_SERVER_ERROR
+    if failed:
+        _log_failure(node, call, outcome, now)
     if _level_below(node, call, now) < FULL_LEVEL:
-        failed = not isinstance(outcome, Answered) or outcome.status >= STATUS_SERVER_ERROR
         note_end(node.throttle, call.name, failed, now)
 
 
+def _log_failure(node: Node, call: Call, outcome: Outcome, now: float) -> None:
+    fields = {
+        "request": call.request,
+        "route": call.name,
+        "service": call.service,
+        "rule_version": node.rulebook.version,
+        "time_left_s": round(call.deadline - now, 3),
+        "level_below": _level_below(node, call, now),
+        **told_by(outcome),
+    }
+    node.decisions.write("request failed", fields)
+
+
+@singledispatch
+def told_by(outcome: Outcome) -> dict[str, object]:
+    """Return the fields of a log line that say how a call ended."""
+    raise TypeError(f"not an outcome: {type(outcome).__name__}")
+
+
+@told_by.register
+def _(outcome: Answered) -> dict[str, object]:
+    return {"outcome": "answered", "status": outcome.status}
+
+
+@told_by.register
+def _(outcome: NotRun) -> dict[str, object]:
+    return {"outcome": "not-run", "reason": outcome.reason.value}
+
+
+@told_by.register
+def _(outcome: Unknown) -> dict[str, object]:
+    return {"outcome": "unknown", "reason": outcome.reason.value}
+
+
 def _level_below(node: Node, call: Call, now: float) -> float:
     below = services_below(node.saturation, call.service, now)
     levels = (level_of(node.saturation, each, now) for each in below)
--- a/src/pollenbay/commands/routing.py
+++ b/src/pollenbay/commands/routing.py
@@ -4,7 +4,7 @@
 
 from pollenbay.ids import InstanceId, ServiceName
 from pollenbay.queries.routing import choose
-from pollenbay.score import AttemptResult, Candidates, Score, Scores
+from pollenbay.score import AttemptResult, Candidates, Score, Scores, Taken
 from pollenbay.subset import make_candidates
 from pollenbay.view import Member, Place, View
 
@@ -54,6 +54,15 @@
     _score_of(scores, member).outstanding += 1
 
 
+def note_taken(scores: Scores, member: Member, part: float, limit: int, now: float) -> None:
+    """Remember how full a target is, as its node told.
+
+    :param part: calls that run or wait there, as a part of the limit.
+    """
+    score = _score_of(scores, member)
+    score.taken = Taken(part, limit, max(score.outstanding - 1, 0), now)
+
+
 def end_attempt(
     scores: Scores, member: Member, latency_s: float, result: AttemptResult, now: float
 ) -> None:
--- a/src/pollenbay/commands/saturation.py
+++ b/src/pollenbay/commands/saturation.py
@@ -8,8 +8,8 @@
 SAMPLE_WEIGHT = 0.35
 #: A refused part counts this much more than slots taken, since refused work is lost above too.
 REFUSED_WEIGHT = 2.0
-#: Saturation that is aimed at: nearly all slots taken and a short queue.
-WANTED_SATURATION = 0.95
+#: Saturation that is aimed at: as many calls running or waiting as may run.
+WANTED_SATURATION = 1.0
 #: Change of the level in a second for each unit of saturation off the wanted one. A change takes
 #: about half a second to come round, so a loop that acts faster would swing.
 GAIN_PER_S = 1.0
--- a/src/pollenbay/commands/serving.py
+++ b/src/pollenbay/commands/serving.py
@@ -35,9 +35,28 @@
     """
     outcome = await _serve(node, call, allowance, passage)
     note_outcome(outcome, node.metrics, call)
+    if not isinstance(outcome, Answered):
+        _log_end(node, call, outcome)
     return outcome
 
 
+def _log_end(node: Node, call: Call, outcome: NotRun | Unknown) -> None:
+    fields = {
+        "request": call.request,
+        "route": call.name,
+        "outcome": "not-run" if isinstance(outcome, NotRun) else "unknown",
+        "reason": outcome.reason.value,
+        "time_left_s": round(call.deadline - node.timer.now(), 3),
+        "target": node.target.name,
+        "target_state": node.target.state.value,
+        "heard_s_ago": round(node.timer.now() - node.target.heard_at, 3),
+        "in_flight": node.gate.in_flight,
+        "limit": node.gate.limit.value,
+        "queued": len(node.gate.line),
+    }
+    node.decisions.write("not answered beside the target", fields)
+
+
 @singledispatch
 def note_outcome(outcome: Outcome, metrics: Metrics, call: Call) -> None:
     """Count how a call ended beside its target; answers are counted where they were asked for."""
--- a/src/pollenbay/commands/throttle.py
+++ b/src/pollenbay/commands/throttle.py
@@ -10,8 +10,14 @@
 COUNT_DECAY = 0.03
 
 
-def note_entry(throttle: Throttle, route: CallName, is_entry: bool | None) -> None:
-    """Take in whether callers use a route, as a node beside its targets tells."""
+def note_entry(
+    throttle: Throttle, route: CallName, is_entry: bool | None, share: float = 1.0
+) -> None:
+    """Take in whether callers use a route, as a node beside its targets tells.
+
+    :param share: part of the calls at a target that came by this route.
+    """
+    throttle.shares[route] = share
     if is_entry is not None:
         throttle.entries[route] = is_entry
 
@@ -27,6 +33,6 @@
 
 def forget_routes(throttle: Throttle, routes: set[CallName]) -> None:
     """Drop what is known of routes that no rule names any more."""
-    for known in (throttle.exposures, throttle.entries):
+    for known in (throttle.exposures, throttle.entries, throttle.shares):
         for route in [each for each in known if each not in routes]:
             del known[route]
--- a/src/pollenbay/commands/upkeep.py
+++ b/src/pollenbay/commands/upkeep.py
@@ -40,6 +40,7 @@
     now = node.timer.now()
     me, service = node.settings.instance, node.settings.service
     measure(node.saturation, node.gate, UPKEEP_PERIOD_S)
+    node.origins.fade()
     hear_levels(node.saturation, me, service, own_levels(node, now), now)
 
 
--- a/src/pollenbay/daemon.py
+++ b/src/pollenbay/daemon.py
@@ -5,11 +5,11 @@
 from functools import partial
 from logging import getLogger
 from pathlib import Path
-from signal import SIGINT, SIGTERM
+from signal import SIGHUP, SIGINT, SIGTERM
 from sys import exit
 
 import click
-from curio import Event, TaskGroup, run, sleep
+from curio import TaskGroup, run, sleep
 from curio.io import Socket
 from msgspec import Struct
 from msgspec.json import encode
@@ -21,13 +21,14 @@
 from pollenbay.commands.adoption import adopt
 from pollenbay.commands.gossiping import run_membership
 from pollenbay.commands.life import LINGER_S, drain
+from pollenbay.commands.reloading import reload_settings, watch_settings
 from pollenbay.commands.sweep import run_sweeper
 from pollenbay.commands.upkeep import keep_up
 from pollenbay.linking import serve_link
 from pollenbay.logs import start_logs
 from pollenbay.node import Node, make_node
 from pollenbay.platform.frontend import make_platform_adapter, platform_parts
-from pollenbay.platform.settings import read_platform_settings, with_bounds
+from pollenbay.platform.settings import adapt_settings, read_platform_settings
 from pollenbay.queries.rules import read_current
 from pollenbay.settings import Settings, load_settings
 from pollenbay.signals import StopSignals, catch_signals
@@ -92,18 +93,20 @@
             click.echo(f"pollenbayd: {path}: {platform.err_value}", err=True)
             exit(EXIT_BAD_SETTINGS)
     if not check:
-        exit(run(serve_node, settings.ok_value))
+        exit(run(serve_node, settings.ok_value, path))
 
 
-async def serve_node(settings: Settings) -> int:
-    """Run a node until it is stopped and return the exit code."""
-    start_logs(settings.log_level, settings.instance, settings.host)
+async def serve_node(settings: Settings, path: Path) -> int:
+    """Run a node until it is stopped and return the exit code.
+
+    :param path: file of the settings, which is watched for changes.
+    """
     if settings.platform is None:
-        return await _serve_own(settings)
-    return await _serve_platform(settings)
+        return await _serve_own(settings, path)
+    return await _serve_platform(settings, path)
 
 
-async def _serve_own(settings: Settings) -> int:
+async def _serve_own(settings: Settings, path: Path) -> int:
     """Run a node with this project's own interface to callers, targets and table."""
     address, ports = settings.address, settings.ports
     listeners = _listen(settings)
@@ -116,34 +119,42 @@
         accept_streams(own.callers, partial(make_callers().serve, node)),
         accept_streams(own.outbound, partial(serve_target, node)),
     ]
-    return await _run(node, listeners, adapter, parts, own)
+    return await _run(
+        node, path, listeners, [*parts, *_common_parts(node, listeners, adapter)], own
+    )
 
 
-async def _serve_platform(settings: Settings) -> int:
+async def _serve_platform(settings: Settings, path: Path) -> int:
     """Run a node with the interfaces of the users' platform.
 
     :raises SettingsError: if the platform's settings are wrong; `main` has checked them.
     """
     platform = read_platform_settings(settings).unwrap()
-    settings = with_bounds(settings, platform)
+    settings = adapt_settings(settings)
     listeners = _listen(settings)
     adapter = make_platform_adapter(platform)
     node = make_node(settings, port_of(listeners.link), adopt, read_current, adapter)
-    return await _run(node, listeners, adapter, platform_parts(node, platform), None)
+    parts = [*platform_parts(node, platform), *_common_parts(node, listeners, adapter)]
+    return await _run(node, path, listeners, parts, None)
 
 
 async def _run(
     node: Node,
+    path: Path,
     listeners: Listeners,
-    adapter: Adapter,
     parts: list[Awaitable[None]],
     own: OwnListeners | None,
 ) -> int:
+    settings = node.settings
+    _print_ready(node, listeners, own)
+    start_logs(settings.log_level, settings.instance, settings.host)
+    LOG.info("start", extra={"service": settings.service, "zone": settings.zone})
     async with TaskGroup(wait=any) as group:
-        for part in [*parts, *_common_parts(node, listeners, adapter)]:
+        for part in parts:
             await group.spawn(part)
-        _print_ready(node, listeners, own)
-        await group.spawn(_stop_when_asked, node)
+        await group.spawn(watch_settings, node, path)
+        await group.spawn(_stop_when_asked, node, path)
+    LOG.info("stop", extra={"exit_code": group.result})
     return group.result
 
 
@@ -175,20 +186,22 @@
     click.echo(encode(ready))
 
 
-async def _stop_when_asked(node: Node) -> int:
+async def _stop_when_asked(node: Node, path: Path) -> int:
     """Wait for a signal or a command to stop, stop as planned, and return the exit code."""
-    with catch_signals(SIGTERM, SIGINT) as asked:
-        await _wait_for_either(asked, node.stopping)
+    with catch_signals(SIGTERM, SIGINT, SIGHUP) as asked:
+        async with TaskGroup(wait=any) as group:
+            await group.spawn(_wait_for_stop, node, path, asked)
+            await group.spawn(node.stopping.wait)
         async with TaskGroup(wait=any) as group:
             await group.spawn(_drain, node)
             await group.spawn(_end_early, node, asked)
     return group.result
 
 
-async def _wait_for_either(asked: StopSignals, stopping: Event) -> None:
-    async with TaskGroup(wait=any) as group:
-        await group.spawn(asked.wait)
-        await group.spawn(stopping.wait)
+async def _wait_for_stop(node: Node, path: Path, asked: StopSignals) -> None:
+    """Return at the first signal to stop; a hangup reloads the settings."""
+    while await asked.wait() == SIGHUP:
+        reload_settings(node, path)
 
 
 async def _drain(node: Node) -> int:
@@ -197,7 +210,8 @@
 
 
 async def _end_early(node: Node, asked: StopSignals) -> int:
-    await asked.wait()
+    while await asked.wait() == SIGHUP:
+        LOG.info("hangup passed over while stopping")
     LOG.warning("stop without waiting", extra={"in_progress": node.watch.in_progress})
     await node.watch.end_all()
     await sleep(LINGER_S)
--- /dev/null
+++ b/src/pollenbay/decisions.py
@@ -0,0 +1,43 @@
+"""Log lines on single requests, bounded in number so that a flood of refusals costs little."""
+
+from logging import getLogger
+
+from pollenbay.timer import Timer
+
+LOG = getLogger("pollenbay.requests")
+#: Lines a second in the long run; the counters tell of the rest.
+LINES_PER_S = 10.0
+#: Lines that may follow each other at once.
+LINES_BURST = 50.0
+
+
+class DecisionLog:
+    """Writes a line for a decision on a request while there is room for one."""
+
+    def __init__(self, timer: Timer) -> None:
+        self._timer = timer
+        self._lines = LINES_BURST
+        self._filled_at = timer.now()
+        self._suppressed = 0
+
+    @property
+    def suppressed(self) -> int:
+        """Return how many lines were left out since the last one that was written."""
+        return self._suppressed
+
+    def write(self, message: str, fields: dict[str, object]) -> None:
+        """Write a line with its fields, or count it as left out."""
+        now = self._timer.now()
+        self._lines = min(self._lines + (now - self._filled_at) * LINES_PER_S, LINES_BURST)
+        self._filled_at = now
+        if self._lines < 1.0:
+            self._suppressed += 1
+            return
+        self._lines -= 1.0
+        LOG.info(message, extra={**fields, "left_out": self._suppressed})
+        self._suppressed = 0
+
+
+def make_decision_log(timer: Timer) -> DecisionLog:
+    """Return a log with its burst at hand."""
+    return DecisionLog(timer)
--- a/src/pollenbay/httpclient.py
+++ b/src/pollenbay/httpclient.py
@@ -1,6 +1,6 @@
 """The client's end of an HTTP/1.1 connection: whole requests out, whole responses in."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 import h11
 from curio.io import Socket
@@ -41,6 +41,7 @@
         self._sock = sock
         self._body_limit_bytes = body_limit_bytes
         self._unframed = unframed
+        self._at_end = False
         self._conn = _make_connection()
 
     @property
@@ -55,7 +56,7 @@
         Bytes past the end of a response would be taken for the response to the next request.
         """
         idle = self._conn.our_state is h11.IDLE and self._conn.their_state is h11.IDLE
-        return idle and not self._conn.trailing_data[0]
+        return idle and not self._at_end and not self._conn.trailing_data[0]
 
     @property
     def stale(self) -> bool:
@@ -118,8 +119,10 @@
         if not isinstance(head, h11.Response):
             raise HttpExchangeError("closed before an answer")
         headers = list(head.headers)
-        if not self._unframed:
-            _require_length(method, head.status_code, headers)
+        if not _is_framed(method, head.status_code, headers):
+            self._at_end = True
+            if not self._unframed:
+                raise HttpAnswerError("the answer has no stated length: a part looks like a whole")
         body = await self._read_body()
         return HttpResponse(head.status_code, headers, body)
 
@@ -165,12 +168,8 @@
     return HttpClient(sock, body_limit_bytes, unframed)
 
 
-def _require_length(method: bytes, status: int, headers: Headers) -> None:
+def _is_framed(method: bytes, status: int, headers: Headers) -> bool:
+    """Tell whether a response ends by its own account, not with its connection."""
     if method == b"HEAD" or status in STATUSES_WITHOUT_BODY:
-        return
-    if not _has_length(name for name, _ in headers):
-        raise HttpAnswerError("the answer has no stated length, so a part looks like the whole")
-
-
-def _has_length(names: Iterable[bytes]) -> bool:
-    return any(name in (b"content-length", b"transfer-encoding") for name in names)
+        return True
+    return any(name in (b"content-length", b"transfer-encoding") for name, _ in headers)
--- a/src/pollenbay/message.py
+++ b/src/pollenbay/message.py
@@ -25,11 +25,17 @@
     """What the node beside a target tells those that call it, besides the outcome.
 
     :param is_entry: whether callers use the route of the call; None if not known.
+    :param share: part of the calls at the target that came by this route.
+    :param taken: calls that run or wait at the target, as a part of its limit.
+    :param limit: calls that may run there at once.
     :param levels: demand that its target and the services below it can take; see
         `pollenbay.saturation`.
     """
 
     is_entry: bool | None
+    share: float
+    taken: float
+    limit: int
     levels: tuple[tuple[ServiceName, float], ...]
 
 
--- a/src/pollenbay/node.py
+++ b/src/pollenbay/node.py
@@ -1,5 +1,6 @@
 """The state of one node: everything that its commands change and its queries read."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
 
@@ -8,6 +9,7 @@
 from pollenbay.adapter import Adapter, make_plain_adapter
 from pollenbay.budget import RetryBudgets, make_retry_budgets
 from pollenbay.contexts import Contexts, make_contexts
+from pollenbay.decisions import DecisionLog, make_decision_log
 from pollenbay.gate import Gate, make_gate
 from pollenbay.ids import Incarnation, ServiceName
 from pollenbay.ledger import Ledger, make_ledger
@@ -34,6 +36,8 @@
     """One node with its parts.
 
     :param state: life of the process; `pollenbay.commands.life` changes it.
+    :param decisions: log lines on single requests.
+    :param adapt: returns settings with what follows from the deployment's own.
     :param saturation: how full targets are, here and below.
     :param throttle: how much of the callers' requests is let in.
     :param origins: where the requests at the own target come from.
@@ -59,6 +63,8 @@
     membership: Membership
     metrics: Metrics
     random: Random
+    decisions: DecisionLog
+    adapt: Callable[[Settings], Settings]
     saturation: Saturation = field(default_factory=make_saturation)
     throttle: Throttle = field(default_factory=make_throttle)
     origins: Origins = field(default_factory=make_origins)
@@ -113,6 +119,8 @@
         membership=membership,
         metrics=make_metrics(),
         random=Random(),
+        decisions=make_decision_log(timer),
+        adapt=adapter.adapt,
     )
     _offer_counts(node)
     return node
--- a/src/pollenbay/platform/frontend.py
+++ b/src/pollenbay/platform/frontend.py
@@ -9,7 +9,12 @@
 from pollenbay.platform.checkins import make_check_ins, serve_check_ins, serve_readiness
 from pollenbay.platform.instance import make_instance_dialect
 from pollenbay.platform.requests import serve_client
-from pollenbay.platform.settings import PlatformSettings, read_bounds, read_endpoint
+from pollenbay.platform.settings import (
+    PlatformSettings,
+    adapt_settings,
+    read_bounds,
+    read_endpoint,
+)
 from pollenbay.platform.store import make_store_table, run_rule_feed
 from pollenbay.stream import accept_streams, listen
 
@@ -32,6 +37,7 @@
         budget_by_service=True,
         adaptive_limit=False,
         run_rules=run_rule_feed,
+        adapt=adapt_settings,
     )
 
 
--- a/src/pollenbay/platform/settings.py
+++ b/src/pollenbay/platform/settings.py
@@ -90,8 +90,18 @@
     return convert({name: value for name, value in known.items() if value is not None}, Bounds)
 
 
-def with_bounds(settings: Settings, platform: PlatformSettings) -> Settings:
-    """Return a node's settings with the times that follow from the platform's."""
+def adapt_settings(settings: Settings) -> Settings:
+    """Return a node's settings with the times that follow from the platform's.
+
+    Without a part for the platform, or with a wrong one, they stay as they are.
+    """
+    platform = read_platform_settings(settings)
+    if isinstance(platform, Err):
+        return settings
+    return _with_bounds(settings, platform.ok_value)
+
+
+def _with_bounds(settings: Settings, platform: PlatformSettings) -> Settings:
     bounds = read_bounds(platform)
     leave_s = bounds.grace_s * LEAVE_PART
     return replace(
--- a/src/pollenbay/queries/routing.py
+++ b/src/pollenbay/queries/routing.py
@@ -3,7 +3,7 @@
 from random import Random
 
 from pollenbay.ids import InstanceId
-from pollenbay.score import Candidates, Score, Scores
+from pollenbay.score import Candidates, Score, Scores, Taken
 from pollenbay.states import MemberState
 from pollenbay.view import Member, View
 
@@ -20,6 +20,12 @@
 #: What a fully loaded report adds to the cost.
 REPORT_WEIGHT = 0.25
 REPORT_VALID_S = 3.0
+#: What a target's node told with a reply is used for so long.
+TAKEN_VALID_S = 0.5
+#: Up to this part of its slots a target is chosen by latency alone, so that fast ones fill first.
+UNCROWDED_PART = 0.85
+#: By how many latencies a target costs more for each further limit's worth of calls.
+CROWDED_WEIGHT = 10.0
 
 
 def choose(
@@ -54,6 +60,8 @@
     """
     if score is None or score.incarnation != member.incarnation:
         return typical_s * _report_factor(member, now) / _warmth(member, now)
+    if score.taken is not None and now - score.taken.told_at < TAKEN_VALID_S:
+        return _told_cost(member, score, score.taken, typical_s, now)
     age = 0.5 ** ((now - score.measured_at) / HALF_LIFE_S)
     latency_s = score.latency_s * age if score.latency_s else typical_s
     parts = max(1.0 - (1.0 - score.success) * age, MIN_PART)
@@ -62,6 +70,26 @@
     return own_cost * _report_factor(member, now)
 
 
+def crowding(taken: float) -> float:
+    """Return by how much a target costs more than an idle one.
+
+    Answers the load pattern in which a service is nearly full and its targets differ in speed: all
+    slots have to be taken before any target has a queue.
+
+    :param taken: calls that run or wait there, as a part of what may run.
+    """
+    return 1.0 + CROWDED_WEIGHT * max(taken - UNCROWDED_PART, 0.0)
+
+
+def _told_cost(member: Member, score: Score, told: Taken, typical_s: float, now: float) -> float:
+    """Return the cost by what the target's node told, corrected by what was sent since."""
+    sent_since = score.outstanding - told.outstanding
+    taken = told.part + sent_since / max(told.limit, 1)
+    latency_s = score.latency_s or typical_s
+    success = max(score.success, MIN_PART) * max(1.0 - score.refused, MIN_PART)
+    return latency_s * crowding(taken) / (success * _warmth(member, now))
+
+
 def available(score: Score | None, now: float, may_probe: bool = True) -> bool:
     """Tell whether a target is not ejected, or is due to be tried and not being tried."""
     if score is None or not score.ejected_until:
--- a/src/pollenbay/queries/telling.py
+++ b/src/pollenbay/queries/telling.py
@@ -11,8 +11,14 @@
 
 def news_to_tell(node: Node, route: CallName, now: float) -> Told:
     """Return what to tell a node that has called by a route."""
-    is_entry = node.origins.is_entry(route, len(node.rulebook.services), now)
-    return Told(is_entry, own_levels(node, now))
+    gate = node.gate
+    return Told(
+        is_entry=node.origins.is_entry(route, len(node.rulebook.services), now),
+        share=round(node.origins.share(route), 3),
+        taken=round((gate.in_flight + len(gate.line)) / gate.limit.value, 2),
+        limit=gate.limit.value,
+        levels=own_levels(node, now),
+    )
 
 
 def own_levels(node: Node, now: float) -> tuple[tuple[ServiceName, float], ...]:
--- a/src/pollenbay/queries/throttle.py
+++ b/src/pollenbay/queries/throttle.py
@@ -6,6 +6,9 @@
 
 #: Part of each class that is let in however low the level is, by rank.
 LEAST_PARTS = (0.5, 0.5, 0.1)
+#: Holding back a route that is a small share of the calls frees little room: this many times its
+#: share is the most that is held back for the room of its own service.
+SHARE_WEIGHT = 4.0
 #: A route counts as exposed for so long after its failures were last too many.
 EXPOSED_S = 30.0
 #: Bounds of the time to come back, as parts of the time within which an answer has full value.
@@ -30,10 +33,11 @@
     """
     if not throttle.entries.get(route, False):
         return 1.0
-    if _is_exposed(throttle, route, now):
-        level = min(level, level_below)
     least = LEAST_PARTS[call_class.rank]
-    return min(max(level - call_class.rank, least), 1.0)
+    part = max(level - call_class.rank, least, 1.0 - SHARE_WEIGHT * throttle.shares[route])
+    if _is_exposed(throttle, route, now):
+        part = min(part, max(level_below - call_class.rank, least))
+    return min(part, 1.0)
 
 
 def retry_after_s(objective_s: float, point: float) -> float:
--- a/src/pollenbay/score.py
+++ b/src/pollenbay/score.py
@@ -20,6 +20,22 @@
     CANCELLED = "cancelled"
 
 
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """How full a target was when its node told.
+
+    :param part: calls that ran or waited, as a part of the limit.
+    :param limit: calls that may run at once.
+    :param outstanding: own attempts under way at that time.
+    :param told_at: monotonic seconds.
+    """
+
+    part: float
+    limit: int
+    outstanding: int
+    told_at: float
+
+
 @dataclass(slots=True)
 class Score:
     """Own measurements of one incarnation of an instance.
@@ -33,6 +49,7 @@
     :param ejections: ejections since it was last trusted.
     :param ejected_until: monotonic seconds; 0 if not ejected.
     :param probes: attempts answered since the ejection was over, which end it.
+    :param taken: how full the target was when its node last told; None if it never did.
     """
 
     incarnation: Incarnation
@@ -45,6 +62,7 @@
     ejections: int = 0
     ejected_until: float = 0.0
     probes: int = 0
+    taken: Taken | None = None
 
 
 @dataclass(slots=True)
--- a/src/pollenbay/throttle.py
+++ b/src/pollenbay/throttle.py
@@ -31,6 +31,7 @@
     def __init__(self) -> None:
         self._exposures: dict[CallName, Exposure] = {}
         self._entries: dict[CallName, bool] = {}
+        self._shares: dict[CallName, float] = {}
 
     @property
     def exposures(self) -> dict[CallName, Exposure]:
@@ -42,6 +43,11 @@
         """Return whether callers use a route, as far as that was told."""
         return self._entries
 
+    @property
+    def shares(self) -> dict[CallName, float]:
+        """Return the part of the calls at its targets that came by each route."""
+        return self._shares
+
 
 def make_throttle() -> Throttle:
     """Return a state in which nothing is known of any route."""
--- a/src/pollenbay/watch.py
+++ b/src/pollenbay/watch.py
@@ -16,7 +16,11 @@
 from pollenbay.stream import CLOSED_EVENTS
 from pollenbay.timer import Timer
 
-WATCH_PERIOD_S = 0.25
+#: How often connections of calls in progress are looked at: a caller that has left is noticed
+#: within this time at each node of the path.
+WATCH_PERIOD_S = 0.1
+#: Rounds between two progress messages on a link.
+ROUNDS_PER_PROGRESS = 3
 
 
 class EndedEarly(TaskCancelled):
@@ -72,10 +76,13 @@
     async def run(self, timer: Timer) -> None:
         """Look after all calls in progress once in each period, until cancelled."""
         subscription = timer.subscribe(WATCH_PERIOD_S)
+        rounds = 0
         while True:
             await subscription.wait()
             await self._end_unawaited()
-            self._send_progress()
+            rounds += 1
+            if rounds % ROUNDS_PER_PROGRESS == 0:
+                self._send_progress()
 
     async def _end_unawaited(self) -> None:
         poller = poll()
--- /dev/null
+++ b/src/standins/metadata.py
@@ -0,0 +1,153 @@
+"""Stand-in for the metadata store of the users' platform: rows, conditional writes and a feed.
+
+``POST /control`` with ``{"mode": "up" | "down" | "silent" | "busy"}`` sets a fault.
+"""
+
+from base64 import b64decode, b64encode
+from urllib.parse import parse_qs, urlsplit
+
+import click
+from curio import Event, TaskTimeout, run, sleep, timeout_after
+from msgspec import Struct
+from msgspec.json import decode, encode
+
+from pollenbay.http1 import HttpRequest, HttpResponse
+from pollenbay.stream import listen, port_of
+from standins.listener import LISTEN_ADDRESS, accept_http, json_response, print_ready, text_response
+
+SILENT_S = 3600.0
+STATUS_BUSY = 503
+STATUS_CHECK_FAILED = 412
+
+
+class Control(Struct):
+    """The fault to put in force."""
+
+    mode: str
+
+
+class StoredRow(Struct):
+    """One row with its value in base64; `deleted` in the feed only."""
+
+    table: str
+    part: str
+    key: str
+    value: str
+    ver: int
+    deleted: bool = False
+
+
+class Metadata:
+    """The rows, in the order of their last change."""
+
+    def __init__(self) -> None:
+        self._rows: dict[tuple[str, str, str], StoredRow] = {}
+        self._version = 0
+        self._changed = Event()
+        self._mode = "up"
+
+    async def put(self, table: str, key: str, value: bytes) -> None:
+        """Write a row as the operator does."""
+        await self._apply([(table, "", key, b64encode(value).decode("ascii"))], [])
+
+    async def handle(self, request: HttpRequest) -> HttpResponse | None:
+        """Answer one request, under the fault in force."""
+        parts = urlsplit(request.target.decode("ascii"))
+        query = {name: values[0] for name, values in parse_qs(parts.query).items()}
+        if parts.path == "/control":
+            control = decode(request.body, type=Control)
+            self._mode = control.mode
+            return json_response(control)
+        if parts.path.startswith("/operator/"):
+            await self.put("op", parts.path.removeprefix("/operator/"), request.body)
+            return HttpResponse(200, [])
+        return await self._under_fault(request, parts.path, query)
+
+    async def _under_fault(
+        self, request: HttpRequest, path: str, query: dict[str, str]
+    ) -> HttpResponse | None:
+        if self._mode == "silent":
+            await sleep(SILENT_S)
+        if self._mode == "down":
+            return None
+        if self._mode == "busy":
+            return HttpResponse(STATUS_BUSY, [])
+        match request.method, path:
+            case b"GET", "/rows-get":
+                return self._read(query)
+            case b"GET", "/rows-feed":
+                return await self._feed(query)
+            case b"POST", "/rows-tx":
+                return await self._write(decode(request.body))
+        return text_response(404, "no such call")
+
+    def _read(self, query: dict[str, str]) -> HttpResponse:
+        start, end = query.get("from", ""), query.get("target")
+        rows = [
+            row
+            for row in sorted(self._rows.values(), key=lambda each: each.key)
+            if row.table == query["table"] and row.part == query.get("part", "")
+            if not row.deleted and row.key >= start and (end is None or row.key < end)
+        ]
+        return self._rows_response(rows[: int(query.get("limit", "500"))])
+
+    async def _feed(self, query: dict[str, str]) -> HttpResponse:
+        after, wait_s = int(query["after"]), float(query["wait_ms"]) / 1000.0
+        try:
+            await timeout_after(wait_s, self._wait_for, query["table"], after)
+        except TaskTimeout:
+            return self._rows_response([])
+        return self._rows_response(self._changes(query["table"], after))
+
+    async def _wait_for(self, table: str, after: int) -> None:
+        while not self._changes(table, after):
+            self._changed.clear()
+            await self._changed.wait()
+
+    def _changes(self, table: str, after: int) -> list[StoredRow]:
+        rows = [row for row in self._rows.values() if row.table == table and row.ver > after]
+        return sorted(rows, key=lambda row: row.ver)
+
+    async def _write(self, body: dict) -> HttpResponse:
+        for check in body.get("expected", []):
+            row = self._rows.get((check["table"], check["part"], check["key"]))
+            if (row.ver if row and not row.deleted else 0) != check["ver"]:
+                return HttpResponse(STATUS_CHECK_FAILED, [], encode({"rows": []}))
+        writes = [(w["table"], w["part"], w["key"], w["value"]) for w in body.get("writes", [])]
+        removed = [(r["table"], r["part"], r["key"]) for r in body.get("remove", [])]
+        await self._apply(writes, removed)
+        return HttpResponse(200, [], encode({"ver": self._version, "now_ms": 0}))
+
+    async def _apply(
+        self, writes: list[tuple[str, str, str, str]], removed: list[tuple[str, str, str]]
+    ) -> None:
+        self._version += 1
+        for table, part, key, value in writes:
+            b64decode(value, validate=True)
+            self._rows[table, part, key] = StoredRow(table, part, key, value, self._version)
+        for table, part, key in removed:
+            row = StoredRow(table, part, key, "", self._version, deleted=True)
+            self._rows[table, part, key] = row
+        await self._changed.set()
+
+    def _rows_response(self, rows: list[StoredRow]) -> HttpResponse:
+        body = {"rows": rows, "has_more": False, "ver": self._version, "now_ms": 0}
+        return HttpResponse(200, [(b"content-type", b"application/json")], encode(body))
+
+
+async def serve_metadata(port: int) -> None:
+    """Listen for good."""
+    listener = listen(LISTEN_ADDRESS, port)
+    print_ready(port_of(listener))
+    await accept_http(listener, Metadata().handle)
+
+
+@click.command()
+@click.option("--port", default=0, help="Port to listen on; 0 takes any free one.")
+def main(port: int) -> None:
+    """Run the stand-in until SIGTERM."""
+    run(serve_metadata, port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/platform_node.py
@@ -0,0 +1,133 @@
+"""One node with the users' platform around it: store, instance and operator as stand-ins."""
+
+import json
+from base64 import b64encode
+from pathlib import Path
+from typing import Any
+
+from harness import ADDRESS, Answer, Process, Processes, free_port, send, wait_until
+
+SERVICE = "stock"
+TARGET = "i-1"
+HOST = "shop.example"
+READY_WITHIN_S = 10.0
+
+
+def config(version: int, *paths: dict[str, Any]) -> bytes:
+    """Return a configuration with these routes of `HOST`."""
+    document = {
+        "version": f"r{version}",
+        "services": [{"name": SERVICE, "health_path": "/healthz", "max_connections": 50}],
+        "limits": {"header_bytes": 16384, "idle_timeout_ms": 15000},
+        "hosts": [{"host": HOST, "paths": list(paths)}],
+    }
+    return json.dumps(document).encode("utf-8")
+
+
+def path(prefix: str, kind: str = "safe", **more: Any) -> dict[str, Any]:
+    """Return a route of the service."""
+    route = {
+        "name": f"r{prefix.strip('/')}",
+        "prefix": prefix,
+        "route_type": kind,
+        "timeout_ms": 1500,
+        "slo_ms": 500,
+        "priority": 1,
+        "service": SERVICE,
+        "max_attempts": 2,
+    }
+    return {**route, **more}
+
+
+class PlatformNode:
+    """The processes of one test.
+
+    :param folder: where settings go.
+    """
+
+    def __init__(self, processes: Processes, folder: Path) -> None:
+        self._processes = processes
+        self.store = processes.start("store", "standins.metadata")
+        self.instance = processes.start("instance", "standins.instance", "--name", TARGET)
+        self.requests_port = free_port()
+        self.readiness_port = free_port()
+        self.check_ins_port = free_port()
+        self.settings_path = processes.write_yaml("node.yaml", self.settings())
+        self._seq = 0
+
+    def settings(self) -> dict[str, Any]:
+        """Return the settings of the node."""
+        return {
+            "instance": "node-1",
+            "host": "node-1",
+            "zone": "z1",
+            "region": "r1",
+            "service": SERVICE,
+            "address": ADDRESS,
+            "platform": {
+                "store": f"{ADDRESS}:{self.store.port}",
+                "target": f"{ADDRESS}:{self.instance.port}",
+                "requests": f"{ADDRESS}:{self.requests_port}",
+                "readiness": f"{ADDRESS}:{self.readiness_port}",
+                "check_ins": f"{ADDRESS}:{self.check_ins_port}",
+                "check_in_ms": 1500,
+                "bounds": {"grace_s": 2, "closed": True},
+            },
+        }
+
+    def start(self) -> Process:
+        """Start the node."""
+        return self._processes.start(
+            "node", "pollenbay.daemon", "--settings", str(self.settings_path)
+        )
+
+    def publish(self, document: bytes) -> None:
+        """Write the configuration as the operator does."""
+        send(self.store.port, "/operator/config", "POST", document)
+
+    def fault(self, mode: str) -> None:
+        """Put a fault of the store in force."""
+        send(self.store.port, "/control", "POST", json.dumps({"mode": mode}))
+
+    def check_in(self, state: str = "ready", **more: Any) -> Answer:
+        """Let the instance check in."""
+        self._seq += 1
+        document = {
+            "address": f"{ADDRESS}:{self.instance.port}",
+            "info": {"service": SERVICE, "version": "v1", "zone": "z1", "capacity": 20},
+            "status": {"state": state, "seq": self._seq, "warmup_left_ms": 0},
+            "born": 1,
+        }
+        return self.put_check_in(json.dumps({**document, **more}).encode("utf-8"))
+
+    def put_check_in(self, body: bytes, name: str = TARGET) -> Answer:
+        """Send a check-in with any body."""
+        return send(self.check_ins_port, f"/instances/{name}", "PUT", body)
+
+    def ask(self, target: str, method: str = "GET", **options: Any) -> Answer:
+        """Send a request of a client."""
+        name = options.pop("name", "0123456789abcdef")
+        headers = {"host": HOST, "x-pollenbay-request-id": name, **options.pop("headers", {})}
+        return send(self.requests_port, target, method, headers=headers, **options)
+
+    def ready(self) -> int:
+        """Return the status that the platform gets when it asks whether the node is ready."""
+        return send(self.readiness_port, "/ready").status
+
+    def runs(self) -> list[dict[str, Any]]:
+        """Return what the instance ran."""
+        return send(self.instance.control_port, "/log").json()["runs"]
+
+    def serve(self, *paths: dict[str, Any]) -> Process:
+        """Publish routes, start the node and wait until it serves."""
+        self.publish(config(1, *paths))
+        node = self.start()
+        wait_until(lambda: self.ready() == 200, READY_WITHIN_S, "the node to be ready")
+        assert self.check_in().status == 200
+        wait_until(lambda: self.ask(paths[0]["prefix"]).status == 200, READY_WITHIN_S, "an answer")
+        return node
+
+
+def row_of(document: bytes) -> str:
+    """Return a value as the store writes it."""
+    return b64encode(document).decode("ascii")
--- /dev/null
+++ b/tests/test_platform_rules.py
@@ -0,0 +1,73 @@
+"""Configurations of the operator: read whole into routes, or refused with a reason."""
+
+import json
+from typing import Any
+
+from hypothesis import given
+from hypothesis import strategies as st
+from platform_node import HOST, config, path
+from pytest import mark
+from result import Ok
+
+from pollenbay.platform.rules import read_rules
+from pollenbay.rule import Destination
+from pollenbay.states import CallClass
+
+
+def read_path(**more: Any):
+    """Return the route that a configuration with one path holds."""
+    return read_rules(config(3, path("/a/", **more))).unwrap().routes[0]
+
+
+def test_route() -> None:
+    rules = read_rules(config(12, path("/a/", "unsafe", priority=0))).unwrap()
+    route = rules.routes[0]
+    assert rules.version == 12
+    assert (route.host, route.prefix, route.wait_ms, route.objective_ms) == (HOST, "/a/", 1500, 500)
+    assert (route.idempotent, route.attempts) == (False, 2)
+    assert route.call_class is CallClass.CRITICAL
+    assert route.destinations == (Destination("stock"),)
+
+
+def test_split() -> None:
+    split = [{"service": "a", "weight": 90}, {"service": "b", "weight": 10}]
+    route = read_path(service=None, traffic_split=split)
+    assert route.destinations == (Destination("a", 90.0), Destination("b", 10.0))
+
+
+@mark.parametrize("kind, idempotent", [("safe", True), ("download", True), ("other", False)])
+def test_only_known_kinds_may_run_twice(kind: str, idempotent: bool) -> None:
+    assert read_path(route_type=kind).idempotent is idempotent
+
+
+@mark.parametrize("priority, call_class", [(0, "critical"), (1, "normal"), (2, "sheddable")])
+def test_ranks(priority: int, call_class: str) -> None:
+    assert read_path(priority=priority).call_class.value == call_class
+    assert read_path(priority=priority + 7).call_class is CallClass.SHEDDABLE
+
+
+def test_fields_that_are_not_known_are_passed_over() -> None:
+    document = json.loads(config(3, path("/a/", colour="green")))
+    assert read_rules(json.dumps({**document, "more": [1]}).encode()).is_ok()
+
+
+@mark.parametrize(
+    "value",
+    [
+        b"",
+        b"\xff",
+        b"[]",
+        b"{}",
+        b'{"version": 3}',
+        b'{"version": "x"}',
+        b'{"version": "r3", "hosts": 7}',
+        b'{"version": "r3", "hosts": [{"host": "h", "paths": [{"name": "a"}]}]}',
+    ],
+)
+def test_unreadable(value: bytes) -> None:
+    assert read_rules(value).is_err()
+
+
+@given(st.binary(max_size=60) | st.text(max_size=30).map(lambda text: json.dumps(text).encode()))
+def test_any_bytes_are_read_or_refused(value: bytes) -> None:
+    assert read_rules(value).is_err() or isinstance(read_rules(value), Ok)
--- /dev/null
+++ b/tests/test_platform_settings.py
@@ -0,0 +1,78 @@
+"""The adapter's part of the settings, and what follows from it for the node."""
+
+from copy import deepcopy
+from typing import Any
+
+from pytest import mark
+
+from pollenbay.platform.settings import (
+    STOP_MARGIN_S,
+    adapt_settings,
+    read_endpoint,
+    read_platform_settings,
+)
+from pollenbay.settings import Settings, parse_settings
+
+GOOD = {
+    "instance": "n1",
+    "host": "n1",
+    "zone": "z1",
+    "region": "r1",
+    "service": "stock",
+    "address": "10.0.0.1",
+    "platform": {
+        "store": "10.0.0.9:8309",
+        "target": "10.0.0.1:8301",
+        "requests": "10.0.0.1:8304",
+        "readiness": "10.0.0.1:8302",
+        "check_ins": "10.0.0.1:8306",
+        "check_in_ms": 1500,
+        "bounds": {"grace_s": 6, "closed": True, "retry_budget_ratio": 0.2},
+    },
+}
+
+
+def settings(**platform: Any) -> Settings:
+    """Return settings with some of the platform's changed."""
+    document = deepcopy(GOOD)
+    document["platform"].update(platform)
+    return parse_settings(document, "test").unwrap()
+
+
+def test_good() -> None:
+    assert read_platform_settings(settings()).is_ok()
+    assert read_endpoint("10.0.0.9:8309").port == 8309
+
+
+@mark.parametrize(
+    "wrong",
+    [
+        {"store": "nowhere"},
+        {"store": 7},
+        {"requests": "10.0.0.1:x"},
+        {"check_in_ms": "often"},
+        {"bounds": {"grace_s": "long"}},
+        {"colour": "green"},
+    ],
+)
+def test_wrong(wrong: dict[str, Any]) -> None:
+    assert read_platform_settings(settings(**wrong)).is_err()
+
+
+def test_a_stop_ends_before_the_process_is_killed() -> None:
+    adapted = adapt_settings(settings())
+    assert adapted.leave_s + adapted.drain_s <= 6 - STOP_MARGIN_S + 1e-9
+    assert adapted.target_lease_s > 3.0
+
+
+def test_neither_table_nor_platform() -> None:
+    document = deepcopy(GOOD)
+    del document["platform"]
+    document["admin_token"] = "0123456789abcdef"
+    assert parse_settings(document, "test").is_err()
+
+
+def test_both_table_and_platform() -> None:
+    document = deepcopy(GOOD)
+    document["table"] = {"address": "10.0.0.9", "port": 1}
+    assert parse_settings(document, "test").is_err()
