--- a/Makefile
+++ b/Makefile
@@ -12,8 +12,11 @@
 	$(VENV)/bin/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
 	touch $@
 
+# Tests that run side by side; each starts what it needs on ports of its own.
+TEST_WORKERS ?= 4
+
 test: setup
-	$(PYTHON) -m pytest
+	$(PYTHON) -m pytest -n $(TEST_WORKERS) --dist worksteal
 
 # All faults of hosts, zones and pairs; `make test` leaves out those marked long.
 faults: setup
--- a/src/pollenbay/commands/membership.py
+++ b/src/pollenbay/commands/membership.py
@@ -184,7 +184,7 @@
         if not _is_silent(contact, now):
             continue
         member = view.members.get(instance)
-        if member is None or member.state is MemberState.DEAD:
+        if member is None or member.state is MemberState.DEAD or not _is_kept(contact):
             drop_contact(gossip, instance)
         elif member.state is MemberState.LEAVING:
             _declare(gossip, view, member, now)
@@ -192,6 +192,14 @@
             _suspect(gossip, view, member, now)
 
 
+def _is_kept(contact: Contact) -> bool:
+    """Tell whether one side sends heartbeats, so that silence means something.
+
+    A late answer can bring back a contact that neither side keeps any more.
+    """
+    return contact.chosen or contact.asks
+
+
 def _suspect(gossip: Gossip, view: View, member: Member, now: float) -> None:
     gossip.counts.suspected += 1
     view.put(replace(member, state=MemberState.SUSPECT, state_at=now))
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -181,6 +181,17 @@
 
 
 class TestSilence:
+    def test_a_contact_that_neither_side_keeps_is_not_suspected(self):
+        gossip, view = make_side()
+        gossip.contacts.clear()
+        hear(gossip, view, InstanceId("b"), 0.0)
+        check_contacts(gossip, view, WATCH_S)
+        gossip.checked_at = SUSPECT_S
+        check_contacts(gossip, view, SUSPECT_S + WATCH_S)
+        assert gossip.counts.suspected == 0
+        assert view.members[InstanceId("b")].state is MemberState.SERVING
+        assert InstanceId("b") not in gossip.contacts
+
     def test_silent_peer_is_suspected_then_dead_within_the_bound(self):
         gossip, view = make_side()
         run_checks(gossip, view, WATCH_S, SUSPECT_S, {"b", "c", "d"})
