Old idle connections are not trusted with calls that may run once; shorter wait for dead hosts

Cause: targets close idle connections after seconds and forget them without notice; what is sent then is lost, and an unsafe call ends as unknown. A host without power held calls for 1 s. Change: 4 s idle at most, 0.3 s for calls that may run only once; connections between nodes are given up after 0.3 s. Path tests: 62 passed.

--- a/src/pollenbay/commands/serving.py
+++ b/src/pollenbay/commands/serving.py
@@ -187,7 +187,7 @@
 
 async def _send(node: Node, call: Call, allowance: int, passage: Passage) -> Outcome:
     try:
-        client = await node.target.connect()
+        client = await node.target.connect(node.timer.now(), call.idempotent)
     except TargetConnectError as error:
         return NotRun(error.reason, RETRY_AFTER_S, allowance)
     account = make_account(allowance, call.deadline)
@@ -210,13 +210,13 @@
 ) -> Outcome:
     time_left_s = call.deadline - node.timer.now()
     if time_left_s <= 0:
-        await node.target.keep(client)
+        await node.target.keep(client, node.timer.now())
         return NotRun(Reason.DEADLINE)
     recorded = not call.idempotent and call.idempotency_key is not None
     passage.cancellable = call.idempotent
     passage.sent = True
     limit_s = time_left_s + RECORD_GRACE_S if recorded else time_left_s
     try:
-        return await node.target.run(client, call, key, time_left_s, limit_s)
+        return await node.target.run(client, call, key, time_left_s, limit_s, node.timer.now)
     except TargetAnswerError as error:
         return Unknown(error.reason)
--- a/src/pollenbay/link.py
+++ b/src/pollenbay/link.py
@@ -21,6 +21,9 @@
 #: First size of a link's receive buffer; the library's own default is 1 MiB for each link.
 BUFFER_BYTES = 4096
 KEPT_CONNECTIONS = 64
+#: Longest wait for a connection to another node: some round trips between regions. A host without
+#: power does not refuse, and its calls have to go elsewhere in time.
+CONNECT_TIMEOUT_S = 0.3
 #: A kept connection idle for longer is not trusted with a call.
 IDLE_LIMIT_S = 20.0
 
@@ -172,6 +175,6 @@
 
 async def _open_link(address: str, port: int) -> Link:
     try:
-        return Link(await open_stream(address, port))
+        return Link(await open_stream(address, port, CONNECT_TIMEOUT_S))
     except StreamConnectError as error:
         raise LinkConnectError(str(error)) from error
--- a/src/pollenbay/target.py
+++ b/src/pollenbay/target.py
@@ -1,6 +1,8 @@
 """The target beside the node: what it last announced, and the connections kept to it."""
 
+from collections.abc import Callable
 from functools import partial
+from time import monotonic
 
 from curio import TaskTimeout, timeout_after
 
@@ -21,6 +23,11 @@
 #: A target that has not announced itself for longer counts as absent.
 ANNOUNCEMENT_LEASE_S = 3.0
 KEPT_CONNECTIONS = 256
+#: A kept connection idle for longer is not used, since targets close idle ones after some seconds
+#: and a call sent at that moment is lost.
+IDLE_LIMIT_S = 4.0
+#: The same for a call that may run only once, which could not be sent again.
+IDLE_LIMIT_ONCE_S = 0.3
 UNNAMED = TargetId("")
 
 
@@ -58,7 +65,7 @@
         self._address = ""
         self._port = 0
         self._heard_at = 0.0
-        self._idle: list[HttpClient] = []
+        self._idle: list[tuple[float, HttpClient]] = []
 
     @property
     def state(self) -> TargetState:
@@ -101,16 +108,20 @@
         """Note that the target has fallen silent."""
         self._state = TargetState.ABSENT
 
-    async def connect(self) -> HttpClient:
+    async def connect(self, now: float, idempotent: bool = True) -> HttpClient:
         """Return a kept connection that looks sound, or open one.
 
+        :param now: monotonic seconds.
+        :param idempotent: whether the call that it is for may be sent again.
         :raises TargetConnectError: if none can be opened.
         """
-        while self._idle:
-            client = self._idle.pop()
+        limit_s = IDLE_LIMIT_S if idempotent else IDLE_LIMIT_ONCE_S
+        while self._idle and now - self._idle[-1][0] < limit_s:
+            _, client = self._idle.pop()
             if not client.stale:
                 return client
             await client.close()
+        await self._close_idle(now)
         try:
             return await connect_http(
                 self._address, self._port, self._body_limit_bytes, self._dialect.unframed
@@ -118,11 +129,19 @@
         except HttpConnectError as error:
             raise TargetConnectError(Reason.CONNECT_FAILED) from error
 
-    async def keep(self, client: HttpClient) -> None:
-        """Keep a connection on which an exchange has ended cleanly."""
+    async def _close_idle(self, now: float) -> None:
+        while self._idle and now - self._idle[0][0] >= IDLE_LIMIT_S:
+            _, client = self._idle.pop(0)
+            await client.close()
+
+    async def keep(self, client: HttpClient, now: float) -> None:
+        """Keep a connection on which an exchange has ended cleanly.
+
+        :param now: monotonic seconds.
+        """
         same_target = client.sock.getpeername() == self.endpoint
         if same_target and client.reusable and len(self._idle) < KEPT_CONNECTIONS:
-            self._idle.append(client)
+            self._idle.append((now, client))
         else:
             await client.close()
 
@@ -133,6 +152,7 @@
         context: ContextKey,
         time_left_s: float,
         limit_s: float,
+        clock: Callable[[], float] = monotonic,
     ) -> Answered | NotRun:
         """Send a call on a connection and return what the target answers.
 
@@ -140,6 +160,7 @@
 
         :param time_left_s: seconds that the target is told it has.
         :param limit_s: seconds after which the answer is awaited no longer.
+        :param clock: returns monotonic seconds.
         :raises TargetAnswerError: if there is no whole answer.
         """
         dialect = self._dialect
@@ -150,7 +171,7 @@
         except BaseException:
             await client.close()
             raise
-        await self.keep(client)
+        await self.keep(client, clock())
         return outcome
 
 
