Keep descriptors registered between waits

Ruled out: waiting by descriptor numbers, which the loop removes after each event. Change: a selector of our own under the event loop; a descriptor nobody waits for stays registered until it reports something or is used for another connection.

--- a/src/pollenbay/daemon.py
+++ b/src/pollenbay/daemon.py
@@ -30,6 +30,7 @@
 from pollenbay.platform.frontend import make_platform_adapter, platform_parts
 from pollenbay.platform.settings import adapt_settings, read_platform_settings
 from pollenbay.queries.rules import read_current
+from pollenbay.selector import make_selector
 from pollenbay.settings import Settings, load_settings
 from pollenbay.signals import StopSignals, catch_signals
 from pollenbay.stream import accept_streams, listen, port_of
@@ -93,7 +94,7 @@
             click.echo(f"pollenbayd: {path}: {platform.err_value}", err=True)
             exit(EXIT_BAD_SETTINGS)
     if not check:
-        exit(run(serve_node, settings.ok_value, path))
+        exit(run(serve_node, settings.ok_value, path, selector=make_selector()))
 
 
 async def serve_node(settings: Settings, path: Path) -> int:
--- a/src/pollenbay/stream.py
+++ b/src/pollenbay/stream.py
@@ -84,12 +84,11 @@
     """Wait for bytes and return them; empty when the other end has closed.
 
     Answers seldom lie ready when they are awaited, so trying to read before waiting would mostly
-    cost a system call for nothing. The wait is for the descriptor, since curio writes the name of a
-    socket, which costs two more.
+    cost a system call for nothing.
 
     :raises OSError: if the connection broke.
     """
-    await wait_readable(sock.fileno())
+    await wait_readable(sock)
     return await sock.recv(limit_bytes)
 
 
