--- a/Makefile
+++ b/Makefile
@@ -23,12 +23,12 @@
 	$(PYTHON) -m pytest -s -m "long or not long" tests/test_fault_pairs.py tests/test_fault_hosts.py tests/test_fault_zones.py
 
 lint: setup
-	$(VENV)/bin/black --check src tests spec bench
-	$(VENV)/bin/ruff check src tests spec bench
+	$(VENV)/bin/black --check src tests spec bench deploy
+	$(VENV)/bin/ruff check src tests spec bench deploy
 
 format: setup
-	$(VENV)/bin/black src tests spec bench
-	$(VENV)/bin/ruff check --fix src tests spec bench
+	$(VENV)/bin/black src tests spec bench deploy
+	$(VENV)/bin/ruff check --fix src tests spec bench deploy
 
 # DEPLOYMENT is sagbru or esernyo.
 DEPLOYMENT ?= sagbru
--- /dev/null
+++ b/src/pollenbay/commands/routed.py
@@ -0,0 +1,137 @@
+"""Entry of requests that a route selects: holding back, placing, and answering in time."""
+
+from curio import TaskTimeout, timeout_after
+
+from pollenbay.account import make_account
+from pollenbay.call import Call, Passage, RouteAsked
+from pollenbay.commands.calling import place_at_service
+from pollenbay.commands.throttle import note_end, note_entry
+from pollenbay.decisions import fields_of_call, fields_of_outcome
+from pollenbay.ids import CallerId
+from pollenbay.node import Node
+from pollenbay.outcome import Answered, NotRun, Outcome, Unknown
+from pollenbay.queries.routes import choose_destination, find_route
+from pollenbay.queries.saturation import level_of, services_below
+from pollenbay.queries.throttle import admitted_part, retry_after_s
+from pollenbay.rule import Route
+from pollenbay.saturation import FULL_LEVEL
+from pollenbay.states import Reason
+
+MS_PER_S = 1000.0
+STATUS_SERVER_ERROR = 500
+#: Other targets tried for one request after refusals, which cost a few milliseconds each.
+FREE_REFUSALS = 2
+#: A node that has just started gets its rules within about this time.
+NOT_READY_RETRY_S = 0.5
+#: Another node takes requests at once.
+MOVED_RETRY_S = 0.05
+#: Callers of routes are not told apart.
+ANY_CALLER = CallerId("")
+
+
+async def enter_by_route(node: Node, asked: RouteAsked, passage: Passage) -> Outcome:
+    """Place a request that a route selects and answer it by the end of the route's wait."""
+    if not node.rulebook.version:
+        return NotRun(Reason.NOT_READY, NOT_READY_RETRY_S)
+    route = find_route(node.rulebook, asked.host, asked.path.partition("?")[0])
+    if route is None:
+        return NotRun(Reason.UNKNOWN_CALL)
+    call = _make_routed_call(node, asked, route)
+    if node.refusing and node.throttle.entries.get(route.name) is not False:
+        return NotRun(Reason.DRAINING, MOVED_RETRY_S)
+    refusal = _hold_back(node, call, route)
+    if refusal is not None:
+        return refusal
+    outcome = await _place_in_time(node, call, route, passage)
+    _note_end(node, call, outcome)
+    return outcome
+
+
+def _hold_back(node: Node, call: Call, route: Route) -> NotRun | None:
+    """Refuse a part of the callers' requests while a service below has too little room."""
+    now = node.timer.now()
+    if call.service == node.settings.service:
+        _note_own_route(node, call, now)
+    if node.throttle.entries.get(call.name) is False:
+        node.called[call.service] = now
+        return None
+    level = level_of(node.saturation, call.service, now)
+    below = _level_below(node, call, now)
+    part = admitted_part(node.throttle, call.name, call.call_class, level, below, now)
+    if part >= 1.0 or node.random.random() < part:
+        return None
+    wait_s = retry_after_s(route.objective_ms / MS_PER_S, node.random.random())
+    fields = {
+        **fields_of_call(call, now),
+        "rule_version": node.rulebook.version,
+        "level": level,
+        "level_below": below,
+        "admitted_part": part,
+        "retry_after_s": wait_s,
+    }
+    node.decisions.write("held back at the entry", fields)
+    node.metrics.note_refusal(call.call_class, Reason.DOWNSTREAM_OVERLOAD)
+    return NotRun(Reason.DOWNSTREAM_OVERLOAD, wait_s)
+
+
+def _note_own_route(node: Node, call: Call, now: float) -> None:
+    """Learn of a route of the own target what other nodes are told with replies."""
+    is_entry = node.origins.is_entry(call.name, len(node.rulebook.services), now)
+    note_entry(node.throttle, call.name, is_entry, node.origins.share(call.name))
+
+
+def _note_end(node: Node, call: Call, outcome: Outcome) -> None:
+    now = node.timer.now()
+    failed = not isinstance(outcome, Answered) or outcome.status >= STATUS_SERVER_ERROR
+    below = _level_below(node, call, now)
+    if failed:
+        _log_failure(node, call, outcome, below, now)
+    if below < FULL_LEVEL:
+        note_end(node.throttle, call.name, failed, now)
+
+
+def _log_failure(node: Node, call: Call, outcome: Outcome, below: float, now: float) -> None:
+    fields = {
+        **fields_of_call(call, now),
+        **fields_of_outcome(outcome),
+        "service": call.service,
+        "rule_version": node.rulebook.version,
+        "level_below": below,
+    }
+    node.decisions.write("request failed", fields)
+
+
+def _level_below(node: Node, call: Call, now: float) -> float:
+    below = services_below(node.saturation, call.service, now)
+    levels = (level_of(node.saturation, each, now) for each in below)
+    return min(levels, default=FULL_LEVEL)
+
+
+async def _place_in_time(node: Node, call: Call, route: Route, passage: Passage) -> Outcome:
+    account = make_account(route.attempts - 1, call.deadline, FREE_REFUSALS)
+    wait_s = call.deadline - node.timer.now()
+    try:
+        return await timeout_after(wait_s, place_at_service, node, call, account, passage)
+    except TaskTimeout:
+        return Unknown(Reason.DEADLINE) if passage.sent else NotRun(Reason.DEADLINE)
+
+
+def _make_routed_call(node: Node, asked: RouteAsked, route: Route) -> Call:
+    wait_s = route.wait_ms / MS_PER_S
+    if asked.wait_s is not None:
+        wait_s = min(wait_s, asked.wait_s)
+    return Call(
+        request=asked.request,
+        service=choose_destination(route, node.random.random()),
+        name=route.name,
+        call_class=route.call_class,
+        caller=ANY_CALLER,
+        method=asked.method,
+        path=asked.path,
+        headers=asked.headers,
+        body=asked.body,
+        deadline=node.timer.now() + wait_s,
+        idempotent=route.idempotent,
+        origin=node.settings.service,
+        timed=True,
+    )
--- a/src/pollenbay/commands/serving.py
+++ b/src/pollenbay/commands/serving.py
@@ -11,6 +11,7 @@
 from pollenbay.commands.admission import abandon, admit, release
 from pollenbay.commands.claim import abandon_claim, record_answer, release_claim, take_claim
 from pollenbay.contexts import Context
+from pollenbay.decisions import fields_of_call, fields_of_outcome
 from pollenbay.gate import Arrival, Refusal, Ticket, Waiter
 from pollenbay.httpclient import HttpClient
 from pollenbay.ids import ContextKey
@@ -42,15 +43,13 @@
 
 
 def _log_end(node: Node, call: Call, outcome: NotRun | Unknown) -> None:
+    now = node.timer.now()
     fields = {
-        "request": call.request,
-        "route": call.name,
-        "outcome": "not-run" if isinstance(outcome, NotRun) else "unknown",
-        "reason": outcome.reason.value,
-        "time_left_s": round(call.deadline - node.timer.now(), 3),
+        **fields_of_call(call, now),
+        **fields_of_outcome(outcome),
         "target": node.target.name,
         "target_state": node.target.state.value,
-        "heard_s_ago": round(node.timer.now() - node.target.heard_at, 3),
+        "heard_s_ago": round(now - node.target.heard_at, 3),
         "in_flight": node.gate.in_flight,
         "limit": node.gate.limit.value,
         "queued": len(node.gate.line),
--- a/src/pollenbay/decisions.py
+++ b/src/pollenbay/decisions.py
@@ -1,7 +1,10 @@
 """Log lines on single requests, bounded in number so that a flood of refusals costs little."""
 
+from functools import singledispatch
 from logging import getLogger
 
+from pollenbay.call import Call
+from pollenbay.outcome import Answered, NotRun, Outcome, Unknown
 from pollenbay.timer import Timer
 
 LOG = getLogger("pollenbay.requests")
@@ -41,3 +44,30 @@
 def make_decision_log(timer: Timer) -> DecisionLog:
     """Return a log with its burst at hand."""
     return DecisionLog(timer)
+
+
+def fields_of_call(call: Call, now: float) -> dict[str, object]:
+    """Return the fields of a log line that say which request it is about."""
+    time_left_s = round(call.deadline - now, 3)
+    return {"request": call.request, "route": call.name, "time_left_s": time_left_s}
+
+
+@singledispatch
+def fields_of_outcome(outcome: Outcome) -> dict[str, object]:
+    """Return the fields of a log line that say how a call ended."""
+    raise TypeError(f"not an outcome: {type(outcome).__name__}")
+
+
+@fields_of_outcome.register
+def _(outcome: Answered) -> dict[str, object]:
+    return {"outcome": "answered", "status": outcome.status}
+
+
+@fields_of_outcome.register
+def _(outcome: NotRun) -> dict[str, object]:
+    return {"outcome": "not-run", "reason": outcome.reason.value}
+
+
+@fields_of_outcome.register
+def _(outcome: Unknown) -> dict[str, object]:
+    return {"outcome": "unknown", "reason": outcome.reason.value}
--- a/src/pollenbay/platform/frontend.py
+++ b/src/pollenbay/platform/frontend.py
@@ -3,6 +3,8 @@
 from collections.abc import Awaitable
 from functools import partial
 
+from curio.io import Socket
+
 from pollenbay.adapter import Adapter
 from pollenbay.budget import RetryTerms
 from pollenbay.node import Node
@@ -52,6 +54,6 @@
     return [accept_streams(_listen(text), serve) for text, serve in ports]
 
 
-def _listen(text: str):
+def _listen(text: str) -> Socket:
     endpoint = read_endpoint(text)
     return listen(endpoint.address, endpoint.port)
--- a/src/pollenbay/platform/requests.py
+++ b/src/pollenbay/platform/requests.py
@@ -7,7 +7,7 @@
 
 from pollenbay.call import Passage, RouteAsked
 from pollenbay.callers import serve_requests
-from pollenbay.commands.entry import enter_by_route
+from pollenbay.commands.routed import enter_by_route
 from pollenbay.http1 import HttpRequest, HttpResponse, end_to_end_headers, header_value
 from pollenbay.ids import RequestId
 from pollenbay.node import Node
