--- a/src/pollenbay/commands/calling.py
+++ b/src/pollenbay/commands/calling.py
@@ -185,7 +185,7 @@
 ) -> Outcome:
     address, port = member.endpoints.address, member.endpoints.link_port
     try:
-        link = await node.links.take(address, port, node.timer.now())
+        link = await node.links.take(address, port, node.timer.now(), call.idempotent)
     except LinkConnectError:
         return NotRun(Reason.CONNECT_FAILED, RETRY_AFTER_S, allowance)
     message = make_call_message(call, make_call_id(), _link_time_s(node, call), allowance)
--- a/src/pollenbay/link.py
+++ b/src/pollenbay/link.py
@@ -26,7 +26,7 @@
 CONNECT_TIMEOUT_S = 0.3
 #: A kept connection idle for longer is not trusted with a call.
 IDLE_LIMIT_S = 20.0
-#: One used so lately is not looked at before it is used again, which would cost a system call.
+#: One used so lately is not looked at before an idempotent call, which would cost a system call.
 FRESH_S = 0.1
 
 
@@ -143,16 +143,18 @@
     def __init__(self) -> None:
         self._idle: dict[tuple[str, int], list[tuple[float, Link]]] = {}
 
-    async def take(self, address: str, port: int, now: float) -> Link:
+    async def take(self, address: str, port: int, now: float, idempotent: bool = True) -> Link:
         """Return a kept link that looks sound, or open one.
 
+        :param idempotent: whether the call that it is for may be sent again.
         :raises LinkConnectError: if none can be opened.
         """
         kept = self._idle.get((address, port), [])
         while kept:
             idle_since, link = kept.pop()
             idle_s = now - idle_since
-            if idle_s < FRESH_S or (idle_s < IDLE_LIMIT_S and not link.stale):
+            fresh = idempotent and idle_s < FRESH_S
+            if fresh or (idle_s < IDLE_LIMIT_S and not link.stale):
                 return link
             await link.close()
         return await _open_link(address, port)
