--- a/Makefile
+++ b/Makefile
@@ -16,7 +16,7 @@
 TEST_WORKERS ?= 4
 
 test: setup
-	$(PYTHON) -m pytest -n $(TEST_WORKERS) --dist worksteal
+	$(PYTHON) -m pytest -r xX -n $(TEST_WORKERS) --dist worksteal
 
 # All faults of hosts, zones and pairs; `make test` leaves out those marked long.
 faults: setup
