Remove a constant that nothing reads

Behaviour is the same: an answer of 410 is any unreadable answer, after which the feed reads anew. Lint is clean and the store's tests pass; the whole suite was not run again.

--- a/src/pollenbay/platform/store.py
+++ b/src/pollenbay/platform/store.py
@@ -27,7 +27,6 @@
 )
 
 STATUS_CHECK_FAILED = 412
-STATUS_HISTORY_GONE = 410
 #: Longest answer to a read or a write, in seconds.
 STORE_TIMEOUT_S = 1.5
 #: How long the store is asked to hold a request for changes. A request that is swallowed delays
