Calls between nodes cost less: links by length, fewer timers, levels worked out once a round

Change: links carry MessagePack behind its length instead of the library's streaming unpacker; both ends of HTTP wait for bytes before asking for an event; the node beside a target leaves the deadline to the node that placed the call, and the watch ends what is overdue or idle; the task of a connection is looked up once; metrics are found by name; the rooms of services are worked out ten times a second instead of twice a request.

--- a/bench/inbound.py
+++ b/bench/inbound.py
@@ -21,6 +21,8 @@
 
 TICKS_PER_S = 100.0
 SETTLE_S = 3.0
+#: The node forgets an instance that has not checked in for a few of these.
+CHECK_IN_S = 1.0
 
 
 def cpu_s(pid: int) -> float:
@@ -80,6 +82,9 @@
         threads = [Thread(target=load, args=(port, until, counts)) for _ in range(connections)]
         for thread in threads:
             thread.start()
+        while monotonic() < until:
+            beside.check_in()
+            sleep(CHECK_IN_S)
         for thread in threads:
             thread.join()
         requests = sum(counts)
--- a/src/pollenbay/call.py
+++ b/src/pollenbay/call.py
@@ -100,8 +100,11 @@
     :param cancellable: whether the call may be given up when its caller leaves.
     :param sent: whether the target may have seen a byte of it.
     :param own_s: seconds that the target itself took, without waiting for calls of its own.
+    :param ends_at: deadline, in monotonic seconds, of a call that whoever placed it ends in time;
+        None if this node ends it.
     """
 
     cancellable: bool = True
     sent: bool = False
     own_s: float = 0.0
+    ends_at: float | None = None
--- a/src/pollenbay/callers.py
+++ b/src/pollenbay/callers.py
@@ -1,9 +1,10 @@
 """HTTP front end for callers and for the target's own calls: one task for each connection."""
 
 from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
 from enum import Enum
 
-from curio import TaskTimeout, current_task, sleep, timeout_after
+from curio import Task, current_task, sleep
 from curio.io import Socket
 from msgspec import MsgspecError
 from msgspec.json import decode
@@ -33,7 +34,16 @@
 STATUS_NO_CONTENT = 204
 STATUS_BAD_REQUEST = 400
 
-Respond = Callable[[Node, Socket, HttpRequest], Awaitable[HttpResponse]]
+
+@dataclass(frozen=True, slots=True)
+class Connection:
+    """A connection on which requests come in, and the task that serves it."""
+
+    sock: Socket
+    task: Task
+
+
+Respond = Callable[[Node, Connection, HttpRequest], Awaitable[HttpResponse]]
 
 
 class Source(Enum):
@@ -81,12 +91,13 @@
     :param source: name under which bad input is counted.
     """
     server = HttpServer(sock, node.settings.limits.body_bytes)
+    connection = Connection(sock, await current_task())
     served = 0
     while True:
-        request = await _read_request(node, server, source)
+        request = await _read_request(node, server, connection.task, source)
         if request is None:
             return
-        response = await respond(node, sock, request)
+        response = await respond(node, connection, request)
         if node.state is NodeState.DRAINING:
             response.headers.append((b"connection", b"close"))
         if not await server.write_response(response):
@@ -96,33 +107,39 @@
             await sleep(0)
 
 
-async def _read_request(node: Node, server: HttpServer, source: str) -> HttpRequest | None:
+async def _read_request(
+    node: Node, server: HttpServer, task: Task, source: str
+) -> HttpRequest | None:
+    ends_at = node.timer.now() + node.settings.limits.caller_idle_s
     try:
-        return await timeout_after(node.settings.limits.caller_idle_s, server.read_request)
-    except TaskTimeout:
-        return None
+        with node.watch.idle(task, ends_at):
+            return await server.read_request()
     except HttpRequestError as error:
         node.metrics.note_bad_input(source)
         await server.write_failure(response_to_bad_request(error.status))
         return None
 
 
-async def _respond_to_caller(node: Node, sock: Socket, request: HttpRequest) -> HttpResponse:
-    origin = CallerId(sock.getpeername()[0])
+async def _respond_to_caller(
+    node: Node, connection: Connection, request: HttpRequest
+) -> HttpResponse:
+    origin = CallerId(connection.sock.getpeername()[0])
     started_at = node.timer.now()
     try:
         asked = read_asked(request)
     except TranslationError:
         return _refuse_bad(node, Source.CALLERS)
     passage = Passage()
-    with node.watch.over(Watched(sock, await current_task(), passage)):
+    with node.watch.over(Watched(connection.sock, connection.task, passage)):
         work = enter_from_caller(node, asked, origin, passage)
         outcome = await outcome_or_end(passage, work)
     _note_call(node, asked, asked.caller or origin, outcome, node.timer.now() - started_at)
     return response_of(outcome)
 
 
-async def _respond_to_target(node: Node, sock: Socket, request: HttpRequest) -> HttpResponse:
+async def _respond_to_target(
+    node: Node, connection: Connection, request: HttpRequest
+) -> HttpResponse:
     if request.target == ANNOUNCE_PATH.encode("ascii"):
         return _hear_announcement(node, request)
     try:
@@ -130,7 +147,7 @@
     except TranslationError:
         return _refuse_bad(node, Source.OUTBOUND)
     passage = Passage()
-    with node.watch.over(Watched(sock, await current_task(), passage)):
+    with node.watch.over(Watched(connection.sock, connection.task, passage)):
         outcome = await outcome_or_end(passage, enter_from_target(node, asked, passage))
     return response_of(outcome)
 
--- a/src/pollenbay/commands/calling.py
+++ b/src/pollenbay/commands/calling.py
@@ -251,7 +251,8 @@
         if call.timed and limit_s >= time_left_s:
             reply = await link.receive()
         else:
-            reply = await timeout_after(max(limit_s, 0.0), link.receive)
+            async with timeout_after(max(limit_s, 0.0)):
+                reply = await link.receive()
     except TaskTimeout as error:
         silent_s = node.timer.now() - heard_at
         if silent_s < SILENCE_LIMIT_S:
--- a/src/pollenbay/commands/routed.py
+++ b/src/pollenbay/commands/routed.py
@@ -11,10 +11,9 @@
 from pollenbay.node import Node
 from pollenbay.outcome import Answered, NotRun, Outcome, Unknown
 from pollenbay.queries.routes import choose_destination, find_route
-from pollenbay.queries.saturation import level_of, services_below
 from pollenbay.queries.throttle import admitted_part, retry_after_s
 from pollenbay.rule import Route
-from pollenbay.saturation import FULL_LEVEL
+from pollenbay.saturation import FULL_LEVEL, Room
 from pollenbay.states import Reason
 
 MS_PER_S = 1000.0
@@ -25,6 +24,8 @@
 NOT_READY_RETRY_S = 0.5
 #: Another node takes requests at once.
 MOVED_RETRY_S = 0.05
+#: Of a service that nothing was heard of.
+UNKNOWN_ROOM = Room()
 #: Callers of routes are not told apart.
 ANY_CALLER = CallerId("")
 
@@ -55,17 +56,16 @@
     if node.throttle.entries.get(call.name) is False:
         node.called[call.service] = now
         return None
-    level = level_of(node.saturation, call.service, now)
-    below = _level_below(node, call, now)
-    part = admitted_part(node.throttle, call.name, call.call_class, level, below, now)
+    room = node.saturation.rooms.get(call.service, UNKNOWN_ROOM)
+    part = admitted_part(node.throttle, call.name, call.call_class, room.level, room.below, now)
     if part >= 1.0 or node.random.random() < part:
         return None
     wait_s = retry_after_s(route.objective_ms / MS_PER_S, node.random.random())
     fields = {
         **fields_of_call(call, now),
         "rule_version": node.rulebook.version,
-        "level": level,
-        "level_below": below,
+        "level": room.level,
+        "level_below": room.below,
         "admitted_part": part,
         "retry_after_s": wait_s,
     }
@@ -83,7 +83,7 @@
 def _note_end(node: Node, call: Call, outcome: Outcome) -> None:
     now = node.timer.now()
     failed = not isinstance(outcome, Answered) or outcome.status >= STATUS_SERVER_ERROR
-    below = _level_below(node, call, now)
+    below = node.saturation.rooms.get(call.service, UNKNOWN_ROOM).below
     if failed:
         _log_failure(node, call, outcome, below, now)
     if below < FULL_LEVEL:
@@ -101,17 +101,12 @@
     node.decisions.write("request failed", fields)
 
 
-def _level_below(node: Node, call: Call, now: float) -> float:
-    below = services_below(node.saturation, call.service, now)
-    levels = (level_of(node.saturation, each, now) for each in below)
-    return min(levels, default=FULL_LEVEL)
-
-
 async def _place_in_time(node: Node, call: Call, route: Route, passage: Passage) -> Outcome:
     account = make_account(route.attempts - 1, call.deadline, FREE_REFUSALS)
     wait_s = call.deadline - node.timer.now()
     try:
-        return await timeout_after(wait_s, place_at_service, node, call, account, passage)
+        async with timeout_after(wait_s):
+            return await place_at_service(node, call, account, passage)
     except TaskTimeout:
         return Unknown(Reason.DEADLINE) if passage.sent else NotRun(Reason.DEADLINE)
 
--- a/src/pollenbay/commands/saturation.py
+++ b/src/pollenbay/commands/saturation.py
@@ -2,7 +2,8 @@
 
 from pollenbay.gate import Gate
 from pollenbay.ids import InstanceId, ServiceName
-from pollenbay.saturation import FULL_LEVEL, Reading, Saturation
+from pollenbay.queries.saturation import level_of, lowest_below
+from pollenbay.saturation import FULL_LEVEL, Reading, Room, Saturation
 
 #: Weight of one sample; with ten samples a second it follows within a quarter of a second.
 SAMPLE_WEIGHT = 0.35
@@ -46,6 +47,15 @@
             below[each] = now
 
 
+def look_around(saturation: Saturation, now: float) -> None:
+    """Work out the room of all services heard of, for the requests until the next look."""
+    services = {*saturation.readings, *saturation.below}
+    for service in services:
+        level = level_of(saturation, service, now)
+        below = lowest_below(saturation, service, now)
+        saturation.rooms[service] = Room(level, below)
+
+
 def forget_tellers(saturation: Saturation, live: set[InstanceId]) -> None:
     """Drop the readings of nodes that have gone."""
     for readings in saturation.readings.values():
--- a/src/pollenbay/commands/serving.py
+++ b/src/pollenbay/commands/serving.py
@@ -223,7 +223,10 @@
     recorded = not call.idempotent and call.idempotency_key is not None
     passage.cancellable = call.idempotent
     passage.sent = True
-    limit_s = time_left_s + RECORD_GRACE_S if recorded else time_left_s
+    limit_s: float | None = time_left_s + RECORD_GRACE_S if recorded else time_left_s
+    if call.timed and not recorded:
+        passage.ends_at = call.deadline
+        limit_s = None
     try:
         return await node.target.run(client, call, key, time_left_s, limit_s, node.timer.now)
     except TargetAnswerError as error:
--- a/src/pollenbay/commands/upkeep.py
+++ b/src/pollenbay/commands/upkeep.py
@@ -5,7 +5,7 @@
 from pollenbay.commands.gossiping import announce_absent, announce_serving, report_load
 from pollenbay.commands.life import change_state
 from pollenbay.commands.routing import forget_gone
-from pollenbay.commands.saturation import forget_tellers, hear_levels, measure
+from pollenbay.commands.saturation import forget_tellers, hear_levels, look_around, measure
 from pollenbay.commands.serving import wake
 from pollenbay.commands.throttle import forget_routes
 from pollenbay.metrics import IN_FLIGHT, LIMIT, MEMBERS, QUEUED, RULE_VERSION
@@ -42,6 +42,7 @@
     measure(node.saturation, node.gate, UPKEEP_PERIOD_S)
     node.origins.fade()
     hear_levels(node.saturation, me, service, own_levels(node, now), now)
+    look_around(node.saturation, now)
 
 
 def _forget(node: Node) -> None:
--- a/src/pollenbay/httpclient.py
+++ b/src/pollenbay/httpclient.py
@@ -125,6 +125,8 @@
             self._conn.receive_data(b"")
 
     async def _read_response(self, method: bytes) -> HttpResponse:
+        if not self._conn.trailing_data[0]:
+            await self._receive()
         head = await self._next_event()
         while isinstance(head, h11.InformationalResponse):
             head = await self._next_event()
@@ -152,7 +154,10 @@
                 raise HttpAnswerError(str(error)) from error
             if event is not h11.NEED_DATA:
                 return event
-            self._conn.receive_data(await receive(self._sock, RECEIVE_BYTES))
+            await self._receive()
+
+    async def _receive(self) -> None:
+        self._conn.receive_data(await receive(self._sock, RECEIVE_BYTES))
 
     def _finish_cycle(self) -> None:
         if self._conn.our_state is h11.DONE and self._conn.their_state is h11.DONE:
--- a/src/pollenbay/httpserver.py
+++ b/src/pollenbay/httpserver.py
@@ -48,6 +48,8 @@
         """
         if self._conn.our_state is h11.DONE and self._conn.their_state is h11.DONE:
             self._conn.start_next_cycle()
+        if not self._conn.trailing_data[0]:
+            await self._receive()
         head = await self._next_event()
         if not isinstance(head, h11.Request):
             return None
--- a/src/pollenbay/link.py
+++ b/src/pollenbay/link.py
@@ -1,15 +1,14 @@
-"""Links between nodes: kept TCP connections that carry one call at a time as MessagePack.
+"""Links between nodes: kept TCP connections that carry one call at a time.
 
-MessagePack delimits itself, so the library's streaming unpacker finds where messages end.
+Each message is MessagePack behind its length in four bytes, most significant first.
 """
 
 from os import write
+from struct import Struct
 
 from curio.io import Socket
-from msgpack import Unpacker
-from msgpack.exceptions import UnpackException
-from msgspec import MsgspecError, convert
-from msgspec.msgpack import Encoder
+from msgspec import MsgspecError
+from msgspec.msgpack import Decoder, Encoder
 
 from pollenbay.ids import CallId
 from pollenbay.message import AnyLinkMessage, ProgressMessage
@@ -18,8 +17,7 @@
 RECEIVE_BYTES = 65536
 #: Longest message: a body at its limit with its headers.
 MESSAGE_LIMIT_BYTES = 16 * 1024 * 1024
-#: First size of a link's receive buffer; the library's own default is 1 MiB for each link.
-BUFFER_BYTES = 4096
+LENGTH = Struct(">I")
 KEPT_CONNECTIONS = 64
 #: Longest wait for a connection to another node: some round trips between regions. A host without
 #: power does not refuse, and its calls have to go elsewhere in time.
@@ -28,6 +26,8 @@
 IDLE_LIMIT_S = 20.0
 #: One used so lately is not looked at before an idempotent call, which would cost a system call.
 FRESH_S = 0.1
+ENCODER = Encoder()
+DECODER = Decoder(AnyLinkMessage)
 
 
 class LinkError(Exception):
@@ -59,10 +59,7 @@
 
     def __init__(self, sock: Socket) -> None:
         self._sock = sock
-        self._unpacker = Unpacker(
-            raw=False, read_size=BUFFER_BYTES, max_buffer_size=MESSAGE_LIMIT_BYTES
-        )
-        self._encoder = Encoder()
+        self._received = bytearray()
 
     @property
     def sock(self) -> Socket:
@@ -80,7 +77,7 @@
         :raises LinkBrokenError: if the connection broke.
         """
         try:
-            await self._sock.sendall(self._encoder.encode(message))
+            await self._sock.sendall(_framed(message))
         except OSError as error:
             raise LinkBrokenError(str(error)) from error
 
@@ -97,14 +94,14 @@
             data = await self._receive_bytes()
             if not data:
                 return None
-            self._feed(data)
+            self._received += data
 
     def send_progress(self, call_id: CallId) -> bool:
         """Send a progress message without waiting and tell whether the connection is sound.
 
         A full send buffer counts as sound: the other node then has bytes of ours to read.
         """
-        data = self._encoder.encode(ProgressMessage(call_id))
+        data = _framed(ProgressMessage(call_id))
         try:
             return write(self._sock.fileno(), data) == len(data)
         except BlockingIOError:
@@ -117,18 +114,18 @@
         await self._sock.close()
 
     def _next_buffered(self) -> AnyLinkMessage | None:
-        try:
-            return convert(next(self._unpacker), AnyLinkMessage)
-        except StopIteration:
+        received = self._received
+        if len(received) < LENGTH.size:
             return None
-        except (MsgspecError, UnpackException, ValueError, TypeError) as error:
-            raise LinkMessageError(str(error)) from error
-
-    def _feed(self, data: bytes) -> None:
-        try:
-            self._unpacker.feed(data)
-        except (UnpackException, ValueError) as error:
-            raise LinkMessageError(str(error)) from error
+        (length,) = LENGTH.unpack_from(received)
+        if length > MESSAGE_LIMIT_BYTES:
+            raise LinkMessageError(f"a message of {length} bytes")
+        end = LENGTH.size + length
+        if len(received) < end:
+            return None
+        data = bytes(received[LENGTH.size : end])
+        del received[:end]
+        return _decode(data)
 
     async def _receive_bytes(self) -> bytes:
         try:
@@ -178,6 +175,18 @@
     return LinkPool()
 
 
+def _framed(message: AnyLinkMessage) -> bytes:
+    data = ENCODER.encode(message)
+    return LENGTH.pack(len(data)) + data
+
+
+def _decode(data: bytes) -> AnyLinkMessage:
+    try:
+        return DECODER.decode(data)
+    except (MsgspecError, ValueError) as error:
+        raise LinkMessageError(str(error)) from error
+
+
 async def _open_link(address: str, port: int) -> Link:
     try:
         return Link(await open_stream(address, port, CONNECT_TIMEOUT_S))
--- a/src/pollenbay/linking.py
+++ b/src/pollenbay/linking.py
@@ -1,6 +1,6 @@
 """Front end for calls that come from other nodes: one task for each connection."""
 
-from curio import current_task, sleep
+from curio import Task, current_task, sleep
 from curio.io import Socket
 
 from pollenbay.call import Passage
@@ -29,11 +29,12 @@
 
 
 async def _serve_calls(node: Node, link: Link) -> None:
+    task = await current_task()
     served = 0
     told_at = 0.0
     while (message := await link.receive()) is not None:
         call_message = _require_call(message)
-        reply = await _serve_call(node, link, call_message)
+        reply = await _serve_call(node, link, task, call_message)
         now = node.timer.now()
         if now - told_at >= TELL_GAP_S:
             reply.told = news_to_tell(node, call_message.name, now)
@@ -50,10 +51,10 @@
     return message
 
 
-async def _serve_call(node: Node, link: Link, message: CallMessage) -> ReplyMessage:
+async def _serve_call(node: Node, link: Link, task: Task, message: CallMessage) -> ReplyMessage:
     call = make_call(message, node.timer.now())
     passage = Passage()
-    watched = Watched(link.sock, await current_task(), passage, link, message.call_id)
+    watched = Watched(link.sock, task, passage, link, message.call_id)
     with node.watch.over(watched):
         work = serve(node, call, message.allowance, passage)
         outcome = await outcome_or_end(passage, work)
--- a/src/pollenbay/message.py
+++ b/src/pollenbay/message.py
@@ -123,7 +123,10 @@
 
 
 def make_call(message: CallMessage, now: float) -> Call:
-    """Return the call that a message asks for; its deadline counts from `now`."""
+    """Return the call that a message asks for; its deadline counts from `now`.
+
+    The node that sent the message ends the call at the deadline.
+    """
     return Call(
         request=message.request,
         service=message.service,
@@ -139,6 +142,7 @@
         depth=message.depth,
         idempotent=message.idempotent,
         origin=message.origin,
+        timed=True,
     )
 
 
--- a/src/pollenbay/metrics.py
+++ b/src/pollenbay/metrics.py
@@ -138,7 +138,7 @@
         self._registry = CollectorRegistry()
         self._callers: set[CallerId] = set()
         self._instruments = {each: _make(each, self._registry) for each in INSTRUMENTS}
-        self._children: dict[tuple[Instrument, tuple[str, ...]], MetricWrapperBase] = {}
+        self._children: dict[tuple[str, ...], MetricWrapperBase] = {}
 
     @property
     def registry(self) -> CollectorRegistry:
@@ -192,10 +192,11 @@
         self._child(STATE_CHANGES, state).inc()
 
     def _child(self, instrument: Instrument, *labels: str) -> MetricWrapperBase:
-        child = self._children.get((instrument, labels))
+        key = (instrument.name, *labels)
+        child = self._children.get(key)
         if child is None:
             child = self._instruments[instrument].labels(*labels)
-            self._children[instrument, labels] = child
+            self._children[key] = child
         return child
 
     def _caller_label(self, caller: CallerId) -> str:
--- a/src/pollenbay/platform/requests.py
+++ b/src/pollenbay/platform/requests.py
@@ -2,11 +2,10 @@
 
 from functools import singledispatch
 
-from curio import current_task
 from curio.io import Socket
 
 from pollenbay.call import Passage, RouteAsked
-from pollenbay.callers import serve_requests
+from pollenbay.callers import Connection, serve_requests
 from pollenbay.commands.routed import enter_by_route
 from pollenbay.http1 import HttpRequest, HttpResponse, end_to_end_headers, header_value
 from pollenbay.ids import RequestId
@@ -47,7 +46,7 @@
     await serve_requests(node, sock, SOURCE, respond)
 
 
-async def respond(node: Node, sock: Socket, request: HttpRequest) -> HttpResponse:
+async def respond(node: Node, connection: Connection, request: HttpRequest) -> HttpResponse:
     """Answer one request."""
     try:
         asked = read_asked(request)
@@ -55,7 +54,7 @@
         node.metrics.note_bad_input(SOURCE)
         return HttpResponse(STATUS_BAD_REQUEST, [])
     passage = Passage()
-    with node.watch.over(Watched(sock, await current_task(), passage)):
+    with node.watch.over(Watched(connection.sock, connection.task, passage)):
         outcome = await outcome_or_end(passage, enter_by_route(node, asked, passage))
     response = response_of(outcome)
     response.headers.append((REQUEST_HEADER, asked.request.encode("latin-1")))
--- a/src/pollenbay/queries/saturation.py
+++ b/src/pollenbay/queries/saturation.py
@@ -27,6 +27,12 @@
     return [each for each, told_at in told.items() if now - told_at < BELOW_VALID_S]
 
 
+def lowest_below(saturation: Saturation, service: ServiceName, now: float) -> float:
+    """Return the lowest level of the services below one; the full level if none is known."""
+    below = services_below(saturation, service, now)
+    return min((level_of(saturation, each, now) for each in below), default=FULL_LEVEL)
+
+
 def levels_to_tell(
     saturation: Saturation, own: ServiceName, called: Iterable[ServiceName], now: float
 ) -> tuple[tuple[ServiceName, float], ...]:
--- a/src/pollenbay/saturation.py
+++ b/src/pollenbay/saturation.py
@@ -29,6 +29,18 @@
     heard_at: float
 
 
+@dataclass(frozen=True, slots=True)
+class Room:
+    """What a service can take, as this node last worked it out.
+
+    :param level: level of the service.
+    :param below: lowest level of the services that its targets call, directly or not.
+    """
+
+    level: float = FULL_LEVEL
+    below: float = FULL_LEVEL
+
+
 class Saturation:
     """The saturation and the level of the own target, and the levels heard of others."""
 
@@ -39,6 +51,7 @@
         self._refusals = 0
         self._readings: dict[ServiceName, dict[InstanceId, Reading]] = {}
         self._below: dict[ServiceName, dict[ServiceName, float]] = {}
+        self._rooms: dict[ServiceName, Room] = {}
 
     @property
     def value(self) -> float:
@@ -60,6 +73,11 @@
         """Return, for each service, those that its targets call, with when that was last told."""
         return self._below
 
+    @property
+    def rooms(self) -> dict[ServiceName, Room]:
+        """Return the room of each service heard of, as of the last look."""
+        return self._rooms
+
     def arrive(self) -> None:
         """Count a call that arrived at the own target."""
         self._arrivals += 1
--- a/src/pollenbay/states.py
+++ b/src/pollenbay/states.py
@@ -10,13 +10,9 @@
     NORMAL = "normal"
     SHEDDABLE = "sheddable"
 
-    @property
-    def rank(self) -> int:
-        """Return 0 for the most important class, growing from there."""
-        return _CLASS_RANKS[self]
-
-
-_CLASS_RANKS = {call_class: rank for rank, call_class in enumerate(CallClass)}
+    def __init__(self, value: str) -> None:
+        #: 0 for the most important class, growing from there.
+        self.rank = len(type(self).__members__)
 
 
 class NodeState(Enum):
--- a/src/pollenbay/target.py
+++ b/src/pollenbay/target.py
@@ -158,7 +158,7 @@
         call: Call,
         context: ContextKey,
         time_left_s: float,
-        limit_s: float,
+        limit_s: float | None,
         clock: Callable[[], float] = monotonic,
     ) -> Answered | NotRun:
         """Send a call on a connection and return what the target answers.
@@ -166,7 +166,8 @@
         A connection that does not end cleanly is closed, which tells the target to give up.
 
         :param time_left_s: seconds that the target is told it has.
-        :param limit_s: seconds after which the answer is awaited no longer.
+        :param limit_s: seconds after which the answer is awaited no longer; None if the caller of
+            this function sees to that.
         :param clock: returns monotonic seconds.
         :raises TargetAnswerError: if there is no whole answer.
         """
@@ -190,10 +191,13 @@
 
 
 async def _exchange(
-    client: HttpClient, request: HttpRequest, limit_s: float, belongs: Belongs
+    client: HttpClient, request: HttpRequest, limit_s: float | None, belongs: Belongs
 ) -> HttpResponse:
     try:
-        return await timeout_after(limit_s, client.exchange, request, belongs)
+        if limit_s is None:
+            return await client.exchange(request, belongs)
+        async with timeout_after(limit_s):
+            return await client.exchange(request, belongs)
     except TaskTimeout as error:
         raise TargetAnswerError(Reason.DEADLINE) from error
     except HttpExchangeError as error:
--- a/src/pollenbay/watch.py
+++ b/src/pollenbay/watch.py
@@ -1,7 +1,6 @@
 """Watches over calls that take long: tells peers that they go on, and ends what nobody awaits."""
 
-from collections.abc import Awaitable, Iterator
-from contextlib import contextmanager
+from collections.abc import Awaitable
 from dataclasses import dataclass
 from select import poll
 
@@ -21,6 +20,10 @@
 WATCH_PERIOD_S = 0.1
 #: Rounds between two progress messages on a link.
 ROUNDS_PER_PROGRESS = 3
+#: Rounds between two looks at idle connections, which may live so much longer than allowed.
+ROUNDS_PER_IDLE_LOOK = 5
+#: A call that its sender should have ended by now has lost it: some round trips between regions.
+OVERDUE_S = 0.2
 
 
 class EndedEarly(TaskCancelled):
@@ -41,11 +44,46 @@
     call_id: CallId | None = None
 
 
+class Watching:
+    """Context in which a call is watched."""
+
+    __slots__ = ("_all", "_descriptor", "_watched")
+
+    def __init__(self, all_watched: dict[int, Watched], watched: Watched) -> None:
+        self._all = all_watched
+        self._watched = watched
+        self._descriptor = watched.sock.fileno()
+
+    def __enter__(self) -> None:
+        self._all[self._descriptor] = self._watched
+
+    def __exit__(self, *_: object) -> None:
+        del self._all[self._descriptor]
+
+
+class IdleConnection:
+    """Context in which a connection waits for its next request."""
+
+    __slots__ = ("_all", "_ends_at", "_task")
+
+    def __init__(self, all_idle: dict[Task, float], task: Task, ends_at: float) -> None:
+        self._all = all_idle
+        self._task = task
+        self._ends_at = ends_at
+
+    def __enter__(self) -> None:
+        self._all[self._task] = self._ends_at
+
+    def __exit__(self, *_: object) -> None:
+        del self._all[self._task]
+
+
 class Watch:
     """All calls in progress on this node, by the file descriptor of their connection."""
 
     def __init__(self) -> None:
         self._watched: dict[int, Watched] = {}
+        self._idle: dict[Task, float] = {}
         self._left = 0
 
     @property
@@ -58,15 +96,17 @@
         """Return how many calls were ended because their caller had left."""
         return self._left
 
-    @contextmanager
-    def over(self, watched: Watched) -> Iterator[None]:
+    def over(self, watched: Watched) -> Watching:
         """Watch a call for the length of the block."""
-        descriptor = watched.sock.fileno()
-        self._watched[descriptor] = watched
-        try:
-            yield
-        finally:
-            del self._watched[descriptor]
+        return Watching(self._watched, watched)
+
+    def idle(self, task: Task, ends_at: float) -> IdleConnection:
+        """Let a connection wait for a request for the length of the block.
+
+        :param task: serves the connection and is cancelled if the wait takes too long.
+        :param ends_at: monotonic seconds at which the wait is too long.
+        """
+        return IdleConnection(self._idle, task, ends_at)
 
     async def end_all(self) -> None:
         """End all calls in progress; whoever awaits them is told by `outcome_or_end`."""
@@ -80,7 +120,10 @@
         while True:
             await subscription.wait()
             await self._end_unawaited()
+            await self._end_overdue(timer.now())
             rounds += 1
+            if rounds % ROUNDS_PER_IDLE_LOOK == 0:
+                await self._end_idle(timer.now())
             if rounds % ROUNDS_PER_PROGRESS == 0:
                 self._send_progress()
 
@@ -94,6 +137,17 @@
                 self._left += 1
                 await watched.task.cancel(blocking=False)
 
+    async def _end_overdue(self, now: float) -> None:
+        for watched in list(self._watched.values()):
+            ends_at = watched.passage.ends_at
+            if ends_at is not None and now > ends_at + OVERDUE_S:
+                self._left += 1
+                await watched.task.cancel(blocking=False)
+
+    async def _end_idle(self, now: float) -> None:
+        for task in [task for task, ends_at in self._idle.items() if now > ends_at]:
+            await task.cancel(blocking=False)
+
     def _send_progress(self) -> None:
         for watched in self._watched.values():
             if watched.link is not None and watched.call_id is not None:
