A question that nobody answers is followed by one on a new connection

Cause: the healed cut of two regions took 3.7, 5.1 and 8.4 s (once above 10 s) until both sides saw each other again. The connections of the cut stay silent for good; pynng keeps them, and only the next reading of the table, some seconds later, brought a new one. Change: after silence the link to a peer is dialled anew. Test first: a proxy that silences what is open (test_peer.TestSilentConnection) failed before. Also: a long request is sent beside the reading of its response, which may come early (test_httpclient, failed before); such a connection is not used again.

--- a/src/pollenbay/httpclient.py
+++ b/src/pollenbay/httpclient.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 import h11
+from curio import spawn
 from curio.io import Socket
 
 from pollenbay.http1 import (
@@ -24,6 +25,9 @@
 
 #: Responses to earlier requests that are passed over before the connection is given up.
 STRAYS_MAX = 2
+#: A longer request may fill the buffers between both ends, of which the smallest in use hold some
+#: pages, and is sent beside the reading.
+AT_ONCE_BYTES = 4096
 
 Belongs = Callable[[HttpResponse], bool]
 
@@ -84,13 +88,31 @@
         """
         data = self._encode(request)
         try:
-            await self._sock.sendall(data)
-            response = await self._read_belonging(request, belongs)
+            if len(data) > AT_ONCE_BYTES:
+                response = await self._send_and_read(data, request, belongs)
+            else:
+                await self._sock.sendall(data)
+                response = await self._read_belonging(request, belongs)
         except OSError as error:
             raise HttpExchangeError(str(error)) from error
         self._finish_cycle()
         return response
 
+    async def _send_and_read(
+        self, data: bytes, request: HttpRequest, belongs: Belongs | None
+    ) -> HttpResponse:
+        """Read the response beside the sending, since it may come before the request is read.
+
+        After a response to a part of a request the rest of it must not be taken for the next one.
+        """
+        sending = await spawn(self._sock.sendall, data, daemon=True)
+        try:
+            response = await self._read_belonging(request, belongs)
+            self._at_end = self._at_end or not sending.terminated or sending.exception is not None
+            return response
+        finally:
+            await sending.cancel()
+
     async def close(self) -> None:
         """Close the socket."""
         await self._sock.close()
--- a/src/pollenbay/peer.py
+++ b/src/pollenbay/peer.py
@@ -72,17 +72,16 @@
     """
 
     def __init__(self, address: str, port: int, traffic: PeerTraffic) -> None:
+        self._url = f"tcp://{address}:{port}"
         self._traffic = traffic
-        self._sock = Req0(
-            reconnect_time_min=RECONNECT_MIN_MS,
-            reconnect_time_max=RECONNECT_MAX_MS,
-            recv_max_size=MESSAGE_LIMIT_BYTES,
-        )
-        self._sock.dial(f"tcp://{address}:{port}", block=False)
+        self._sock = _dial(self._url)
 
     async def ask(self, question: Question) -> Answer:
         """Send a question and return its answer.
 
+        After silence the next question goes out on a new connection, since one can go silent for
+        good while others work.
+
         :raises PeerSilentError: if none came in time.
         :raises PeerAnswerError: if it makes no sense.
         """
@@ -92,6 +91,8 @@
             answer = await timeout_after(EXCHANGE_TIMEOUT_S, self._exchange, data)
         except (NNGException, TaskTimeout) as error:
             self._traffic.exchanges_failed += 1
+            self._sock.close()
+            self._sock = _dial(self._url)
             raise PeerSilentError(str(error)) from error
         self._traffic.sent_bytes += len(data)
         self._traffic.received_bytes += len(answer)
@@ -180,6 +181,16 @@
     return PeerTraffic()
 
 
+def _dial(url: str) -> Req0:
+    sock = Req0(
+        reconnect_time_min=RECONNECT_MIN_MS,
+        reconnect_time_max=RECONNECT_MAX_MS,
+        recv_max_size=MESSAGE_LIMIT_BYTES,
+    )
+    sock.dial(url, block=False)
+    return sock
+
+
 async def _send(sock: Socket, data: bytes) -> None:
     while True:
         try:
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -2,7 +2,7 @@
 
 from typing import Any
 
-from curio import run, spawn
+from curio import run, sleep, spawn, timeout_after
 from curio.socket import socketpair
 from pytest import mark, raises
 
@@ -16,6 +16,8 @@
 from pollenbay.httpclient import STRAYS_MAX, HttpClient
 
 REQUEST = HttpRequest(b"GET", b"/", [(b"host", b"t")])
+LONG_REQUEST = HttpRequest(b"PUT", b"/", [(b"host", b"t")], b"b" * 4_000_000)
+ANSWERED_WITHIN_S = 4.0
 
 
 def answer(name: bytes, body: bytes = b"body") -> bytes:
@@ -82,3 +84,31 @@
 def test_an_answer_that_is_cut_is_none(cut: int) -> None:
     with raises((HttpAnswerError, HttpExchangeError)):
         exchange(answer(b"mine")[:cut])
+
+
+async def _answer_early(sock: Any, closes: bool) -> None:
+    await sock.recv(100)
+    await sock.sendall(answer(b"mine", b"early"))
+    if closes:
+        await sock.close()
+        return
+    await sleep(ANSWERED_WITHIN_S)
+
+
+async def _exchange_long(closes: bool) -> tuple[HttpResponse, bool]:
+    near, far = socketpair()
+    client = HttpClient(near)
+    server = await spawn(_answer_early, far, closes, daemon=True)
+    async with timeout_after(ANSWERED_WITHIN_S / 2):
+        response = await client.exchange(LONG_REQUEST, belongs)
+    reusable = client.reusable
+    await server.cancel()
+    await near.close()
+    return response, reusable
+
+
+@mark.parametrize("closes", [False, True])
+def test_an_answer_before_a_long_body_is_read_ends_the_connection(closes: bool) -> None:
+    response, reusable = run(_exchange_long, closes)
+    assert response.body == b"early"
+    assert not reusable
--- a/tests/test_peer.py
+++ b/tests/test_peer.py
@@ -5,6 +5,7 @@
 
 import pytest
 from curio import TaskCancelled, TaskGroup, run, sleep, spawn, timeout_after
+from harness import Processes, control
 from membership_double import ADDRESS, record_for
 
 from pollenbay.ids import InstanceId
@@ -30,6 +31,8 @@
 
 #: Longest that one question may take on a busy machine.
 ASK_BOUND_S = EXCHANGE_TIMEOUT_S + 1.0
+#: Within the time after which a silent member is suspected, so that none is for its connection.
+GIVEN_UP_WITHIN_S = 2 * ASK_BOUND_S
 QUESTION = PageRequest(InstanceId(""))
 
 
@@ -168,6 +171,28 @@
         assert isinstance(run(main), PageAnswer)
 
 
+class TestSilentConnection:
+    """A connection that goes silent for good, while new ones work."""
+
+    def test_is_given_up_for_a_new_one(self, tmp_path):
+        async def main(proxy, server):
+            task = await spawn(server.serve, answer_page)
+            link = make_peer_link(ADDRESS, proxy.port, make_peer_traffic())
+            try:
+                await timeout_after(ASK_BOUND_S, _ask_until_answered, link)
+                control(proxy, mode="silence")
+                return await timeout_after(GIVEN_UP_WITHIN_S, _ask_until_answered, link)
+            finally:
+                await task.cancel()
+                link.close()
+
+        server = make_peer_server(ADDRESS, 0, make_peer_traffic())
+        with Processes(tmp_path) as processes:
+            answer = run(main, processes.start_proxy(server.port), server)
+        server.close()
+        assert isinstance(answer, PageAnswer)
+
+
 class TestCancellation:
     def test_idle_server_and_waiting_question_are_cancelled_at_once(self):
         silent = socket()
