--- a/src/pollenbay/http1.py
+++ b/src/pollenbay/http1.py
@@ -104,10 +104,14 @@
     return None
 
 
-def end_to_end_headers(headers: Headers) -> Headers:
-    """Return the headers that pass from one end to the other."""
+def end_to_end_headers(headers: Headers, dropped: frozenset[bytes] = frozenset()) -> Headers:
+    """Return the headers that pass from one end to the other.
+
+    :param dropped: names in lower case of others that do not pass.
+    """
     named = _headers_named_by_connection(headers)
-    return [pair for pair in headers if pair[0] not in HOP_HEADERS and pair[0] not in named]
+    kept_back = HOP_HEADERS | dropped | named
+    return [pair for pair in headers if pair[0] not in kept_back]
 
 
 def _headers_named_by_connection(headers: Headers) -> frozenset[bytes]:
--- a/src/pollenbay/platform/instance.py
+++ b/src/pollenbay/platform/instance.py
@@ -21,7 +21,8 @@
 #: Another instance may have room at once, so a caller need not wait long.
 RETRY_AFTER_S = 0.3
 STATUS_MISDIRECTED = 421
-OWN_RESPONSE_HEADERS = frozenset({LOAD_HEADER, NOT_RUN_HEADER})
+#: Headers for the node alone, and the name, which the node of the client sets again.
+OWN_RESPONSE_HEADERS = frozenset({LOAD_HEADER, NOT_RUN_HEADER, REQUEST_HEADER})
 
 
 class InstanceDialect:
@@ -63,18 +64,16 @@
 
         :raises DialectError: if it is not the instance's answer, or promises what it may not.
         """
-        headers, status = response.headers, response.status
-        if header_value(headers, NOT_RUN_HEADER) or status == STATUS_MISDIRECTED:
+        values, status = dict(response.headers), response.status
+        if values.get(NOT_RUN_HEADER) or status == STATUS_MISDIRECTED:
             return NotRun(Reason.TARGET_REFUSED, RETRY_AFTER_S)
         if status in PROMISES_NOT_RUN:
             raise DialectError(f"status {status} of a request that may have run")
-        if status < 300 and header_value(headers, SIGNATURE_HEADER) is None:
+        if status < 300 and SIGNATURE_HEADER not in values:
             raise DialectError("success without a signature")
-        if header_value(headers, b"content-encoding") is not None:
+        if b"content-encoding" in values:
             raise DialectError("an encoded body is not the instance's")
-        passed = [
-            pair for pair in end_to_end_headers(headers) if pair[0] not in OWN_RESPONSE_HEADERS
-        ]
+        passed = end_to_end_headers(response.headers, OWN_RESPONSE_HEADERS)
         return Answered(status, passed, response.body)
 
 
--- a/src/pollenbay/platform/requests.py
+++ b/src/pollenbay/platform/requests.py
@@ -7,7 +7,7 @@
 from pollenbay.call import Passage, RouteAsked
 from pollenbay.callers import Connection, serve_requests
 from pollenbay.commands.routed import enter_by_route
-from pollenbay.http1 import HttpRequest, HttpResponse, end_to_end_headers, header_value
+from pollenbay.http1 import HttpRequest, HttpResponse, end_to_end_headers
 from pollenbay.ids import RequestId
 from pollenbay.node import Node
 from pollenbay.outcome import Answered, Headers, NotRun, Outcome, Unknown
@@ -66,11 +66,11 @@
 
     :raises RequestUnreadableError: if it has no name or a header of ours is wrong.
     """
-    headers = request.headers
-    name, host = header_value(headers, REQUEST_HEADER), header_value(headers, b"host")
+    values = dict(request.headers)
+    name, host = values.get(REQUEST_HEADER), values.get(b"host")
     if not name or host is None:
         raise RequestUnreadableError("the request has no name or no host")
-    passed = [pair for pair in end_to_end_headers(headers) if pair[0] not in OWN_HEADERS]
+    passed = end_to_end_headers(request.headers, OWN_HEADERS)
     return RouteAsked(
         request=RequestId(name.decode("latin-1")),
         host=host.decode("latin-1").partition(":")[0].lower(),
@@ -78,12 +78,11 @@
         path=request.target.decode("latin-1"),
         headers=[(b"host", host), *passed],
         body=request.body,
-        wait_s=_read_wait(headers),
+        wait_s=_read_wait(values.get(DEADLINE_HEADER)),
     )
 
 
-def _read_wait(headers: Headers) -> float | None:
-    value = header_value(headers, DEADLINE_HEADER)
+def _read_wait(value: bytes | None) -> float | None:
     if value is None:
         return None
     try:
@@ -100,8 +99,7 @@
 
 @response_of.register
 def _(outcome: Answered) -> HttpResponse:
-    headers = [pair for pair in outcome.headers if pair[0] != REQUEST_HEADER]
-    return HttpResponse(outcome.status, headers, outcome.body)
+    return HttpResponse(outcome.status, list(outcome.headers), outcome.body)
 
 
 @response_of.register
