--- a/src/pollenbay/callers.py
+++ b/src/pollenbay/callers.py
@@ -16,9 +16,8 @@
 from pollenbay.http1 import HttpRequest, HttpRequestError, HttpResponse
 from pollenbay.httpserver import HttpServer
 from pollenbay.ids import CallerId
-from pollenbay.metrics import ANSWERED, NOT_RUN, UNKNOWN
 from pollenbay.node import Node
-from pollenbay.outcome import Answered, NotRun, Outcome
+from pollenbay.outcome import NotRun, Outcome
 from pollenbay.queries.rules import find_call
 from pollenbay.states import NodeState, Reason
 from pollenbay.translation import (
@@ -171,11 +170,5 @@
     node: Node, asked: Asked, caller: CallerId, outcome: Outcome, seconds: float
 ) -> None:
     rule = find_call(node.rulebook, asked.service, asked.name)
-    call_class = None if rule is None else rule.call_class
-    node.metrics.note_call(call_class, _outcome_label(outcome), caller, seconds)
-
-
-def _outcome_label(outcome: Outcome) -> str:
-    if isinstance(outcome, Answered):
-        return ANSWERED
-    return NOT_RUN if isinstance(outcome, NotRun) else UNKNOWN
+    node.metrics.note_call(None if rule is None else rule.call_class, outcome, seconds)
+    node.metrics.note_caller(caller, seconds)
--- a/src/pollenbay/commands/routed.py
+++ b/src/pollenbay/commands/routed.py
@@ -43,8 +43,9 @@
     refusal = _hold_back(node, call, route)
     if refusal is not None:
         return refusal
+    began_at = node.timer.now()
     outcome = await _place_in_time(node, call, route, passage)
-    _note_end(node, call, outcome)
+    _note_end(node, call, outcome, began_at)
     return outcome
 
 
@@ -80,8 +81,9 @@
     note_entry(node.throttle, call.name, is_entry, node.origins.share(call.name))
 
 
-def _note_end(node: Node, call: Call, outcome: Outcome) -> None:
+def _note_end(node: Node, call: Call, outcome: Outcome, began_at: float) -> None:
     now = node.timer.now()
+    node.metrics.note_call(call.call_class, outcome, now - began_at)
     failed = not isinstance(outcome, Answered) or outcome.status >= STATUS_SERVER_ERROR
     below = node.saturation.rooms.get(call.service, UNKNOWN_ROOM).below
     if failed:
--- a/src/pollenbay/metrics.py
+++ b/src/pollenbay/metrics.py
@@ -10,14 +10,13 @@
 from prometheus_client.registry import Collector
 
 from pollenbay.ids import CallerId
+from pollenbay.outcome import Answered, NotRun, Outcome, Unknown
 from pollenbay.states import CallClass, Reason
 
 CALLER_LABELS_MAX = 50
 OTHER_CALLERS = "other"
 SECONDS_BUCKETS = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
-ANSWERED = "answered"
-NOT_RUN = "not-run"
-UNKNOWN = "unknown"
+OUTCOME_LABELS = {Answered: "answered", NotRun: "not-run", Unknown: "unknown"}
 #: Class label of a call that no rule names.
 NO_CLASS = "none"
 
@@ -153,11 +152,13 @@
         """Offer integer attributes of a part as counters."""
         self._registry.register(Counts(prefix, part, names))
 
-    def note_call(
-        self, call_class: CallClass | None, outcome: str, caller: CallerId, seconds: float
-    ) -> None:
+    def note_call(self, call_class: CallClass | None, outcome: Outcome, seconds: float) -> None:
         """Count a request that entered here and has its outcome."""
-        self._child(CALL_SECONDS, _class_label(call_class), outcome).observe(seconds)
+        label = OUTCOME_LABELS[type(outcome)]
+        self._child(CALL_SECONDS, _class_label(call_class), label).observe(seconds)
+
+    def note_caller(self, caller: CallerId, seconds: float) -> None:
+        """Count a request of a caller."""
         self._child(CALLER_SECONDS, self._caller_label(caller)).observe(seconds)
 
     def note_refusal(self, call_class: CallClass | None, reason: Reason) -> None:
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -6,7 +6,7 @@
 from signal import SIGHUP
 from time import monotonic
 
-from harness import Processes, wait_until
+from harness import Processes, send, wait_until
 from platform_node import READY_WITHIN_S, SERVICE, PlatformNode, config, path
 from pytest import fixture, mark
 
@@ -51,6 +51,15 @@
         assert run["origin"] == SERVICE
         assert 0 < run["deadline_ms"] <= 900
 
+    def test_are_counted_with_their_time(self, platform: PlatformNode) -> None:
+        node = platform.serve(path("/safe/"), path("/short/", timeout_ms=300))
+        assert platform.ask("/short/?work_s=1").status == 504
+        text = send(node.ready["admin"], "/metrics").body.decode("utf-8")
+        counted = 'pollenbay_call_seconds_count{call_class="normal",outcome="%s"}'
+        lines = dict(line.rsplit(" ", 1) for line in text.splitlines() if line[0] != "#")
+        assert float(lines[counted % "answered"]) >= 1.0
+        assert float(lines[counted % "unknown"]) == 1.0
+
     def test_no_route(self, served: PlatformNode) -> None:
         assert served.ask("/none/").status == 404
 
