Numbers of requests are counted without the library's instruments; lines are put together only if there is room

Cause: processor time of a call; the library's histograms and counters take a lock and several calls for each number, and under overload thousands of lines were put together to be left out. Change: tally.py keeps plain numbers and offers them to the library when it asks; the decision log is asked for room first.

--- a/src/pollenbay/commands/routed.py
+++ b/src/pollenbay/commands/routed.py
@@ -62,6 +62,15 @@
     if part >= 1.0 or node.random.random() < part:
         return None
     wait_s = retry_after_s(route.objective_ms / MS_PER_S, node.random.random())
+    if node.decisions.take_room():
+        _log_held_back(node, call, room, part, wait_s, now)
+    node.metrics.note_refusal(call.call_class, Reason.DOWNSTREAM_OVERLOAD)
+    return NotRun(Reason.DOWNSTREAM_OVERLOAD, wait_s)
+
+
+def _log_held_back(
+    node: Node, call: Call, room: Room, part: float, wait_s: float, now: float
+) -> None:
     fields = {
         **fields_of_call(call, now),
         "rule_version": node.rulebook.version,
@@ -71,8 +80,6 @@
         "retry_after_s": wait_s,
     }
     node.decisions.write("held back at the entry", fields)
-    node.metrics.note_refusal(call.call_class, Reason.DOWNSTREAM_OVERLOAD)
-    return NotRun(Reason.DOWNSTREAM_OVERLOAD, wait_s)
 
 
 def _note_own_route(node: Node, call: Call, now: float) -> None:
@@ -86,7 +93,7 @@
     node.metrics.note_call(call.call_class, outcome, now - began_at)
     failed = not isinstance(outcome, Answered) or outcome.status >= STATUS_SERVER_ERROR
     below = node.saturation.rooms.get(call.service, UNKNOWN_ROOM).below
-    if failed:
+    if failed and node.decisions.take_room():
         _log_failure(node, call, outcome, below, now)
     if below < FULL_LEVEL:
         note_end(node.throttle, call.name, failed, now)
--- a/src/pollenbay/commands/serving.py
+++ b/src/pollenbay/commands/serving.py
@@ -37,7 +37,7 @@
     """
     outcome = await _serve(node, call, allowance, passage)
     note_outcome(outcome, node.metrics, call)
-    if not isinstance(outcome, Answered):
+    if not isinstance(outcome, Answered) and node.decisions.take_room():
         _log_end(node, call, outcome)
     return outcome
 
--- a/src/pollenbay/decisions.py
+++ b/src/pollenbay/decisions.py
@@ -15,7 +15,10 @@
 
 
 class DecisionLog:
-    """Writes a line for a decision on a request while there is room for one."""
+    """Writes a line for a decision on a request while there is room for one.
+
+    Room is taken before the fields are put together, which costs more than most decisions.
+    """
 
     def __init__(self, timer: Timer) -> None:
         self._timer = timer
@@ -28,15 +31,19 @@
         """Return how many lines were left out since the last one that was written."""
         return self._suppressed
 
-    def write(self, message: str, fields: dict[str, object]) -> None:
-        """Write a line with its fields, or count it as left out."""
+    def take_room(self) -> bool:
+        """Take the room for one line and tell whether there was some; if not, it is left out."""
         now = self._timer.now()
         self._lines = min(self._lines + (now - self._filled_at) * LINES_PER_S, LINES_BURST)
         self._filled_at = now
         if self._lines < 1.0:
             self._suppressed += 1
-            return
+            return False
         self._lines -= 1.0
+        return True
+
+    def write(self, message: str, fields: dict[str, object]) -> None:
+        """Write a line for which room was taken."""
         LOG.info(message, extra={**fields, "left_out": self._suppressed})
         self._suppressed = 0
 
--- a/src/pollenbay/metrics.py
+++ b/src/pollenbay/metrics.py
@@ -4,18 +4,17 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
-from prometheus_client.metrics import MetricWrapperBase
+from prometheus_client import CollectorRegistry
 from prometheus_client.metrics_core import CounterMetricFamily
 from prometheus_client.registry import Collector
 
 from pollenbay.ids import CallerId
 from pollenbay.outcome import Answered, NotRun, Outcome, Unknown
 from pollenbay.states import CallClass, Reason
+from pollenbay.tally import CounterTally, GaugeTally, SecondsTally
 
 CALLER_LABELS_MAX = 50
 OTHER_CALLERS = "other"
-SECONDS_BUCKETS = (0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0)
 OUTCOME_LABELS = {Answered: "answered", NotRun: "not-run", Unknown: "unknown"}
 #: Class label of a call that no rule names.
 NO_CLASS = "none"
@@ -136,8 +135,14 @@
     def __init__(self) -> None:
         self._registry = CollectorRegistry()
         self._callers: set[CallerId] = set()
-        self._instruments = {each: _make(each, self._registry) for each in INSTRUMENTS}
-        self._children: dict[tuple[str, ...], MetricWrapperBase] = {}
+        made = {each: _make(each, self._registry) for each in INSTRUMENTS}
+        self._counters = {each: tally for each, tally in made.items() if each.kind is Kind.COUNTER}
+        self._gauges = {each: tally for each, tally in made.items() if each.kind is Kind.GAUGE}
+        self._call_seconds: SecondsTally = made[CALL_SECONDS]
+        self._caller_seconds: SecondsTally = made[CALLER_SECONDS]
+        self._queue_seconds: SecondsTally = made[QUEUE_SECONDS]
+        self._target_seconds: SecondsTally = made[TARGET_SECONDS]
+        self._attempts: CounterTally = made[ATTEMPTS]
 
     @property
     def registry(self) -> CollectorRegistry:
@@ -146,7 +151,7 @@
 
     def set_gauge(self, instrument: Instrument, value: float) -> None:
         """Set a gauge."""
-        self._instruments[instrument].set(value)
+        self._gauges[instrument].set(value)
 
     def add_counts(self, prefix: str, part: object, names: tuple[str, ...]) -> None:
         """Offer integer attributes of a part as counters."""
@@ -155,50 +160,42 @@
     def note_call(self, call_class: CallClass | None, outcome: Outcome, seconds: float) -> None:
         """Count a request that entered here and has its outcome."""
         label = OUTCOME_LABELS[type(outcome)]
-        self._child(CALL_SECONDS, _class_label(call_class), label).observe(seconds)
+        self._call_seconds.observe(seconds, _class_label(call_class), label)
 
     def note_caller(self, caller: CallerId, seconds: float) -> None:
         """Count a request of a caller."""
-        self._child(CALLER_SECONDS, self._caller_label(caller)).observe(seconds)
+        self._caller_seconds.observe(seconds, self._caller_label(caller))
 
     def note_refusal(self, call_class: CallClass | None, reason: Reason) -> None:
         """Count a call that was not run."""
-        self._child(REFUSED, _class_label(call_class), reason.value).inc()
+        self._counters[REFUSED].add(_class_label(call_class), reason.value)
 
     def note_unknown(self, reason: Reason) -> None:
         """Count a call of unknown outcome."""
-        self._child(UNKNOWN_OUTCOMES, reason.value).inc()
+        self._counters[UNKNOWN_OUTCOMES].add(reason.value)
 
     def note_attempt(self, call_class: CallClass, retry: bool) -> None:
         """Count an attempt, first or repeated."""
-        self._child(ATTEMPTS, call_class.value, "retry" if retry else "first").inc()
+        self._attempts.add(call_class.value, "retry" if retry else "first")
 
     def note_queue(self, call_class: CallClass, seconds: float) -> None:
         """Count a wait for a slot."""
-        self._child(QUEUE_SECONDS, call_class.value).observe(seconds)
+        self._queue_seconds.observe(seconds, call_class.value)
 
     def note_target(self, call_class: CallClass, seconds: float) -> None:
         """Count a call that the target has run."""
-        self._child(TARGET_SECONDS, call_class.value).observe(seconds)
+        self._target_seconds.observe(seconds, call_class.value)
 
     def note_bad_input(self, source: str) -> None:
         """Count input that broke a protocol.
 
         :param source: which listener or peer it came from, one of few fixed names.
         """
-        self._child(BAD_INPUT, source).inc()
+        self._counters[BAD_INPUT].add(source)
 
     def note_state(self, state: str) -> None:
         """Count a change of the node's state."""
-        self._child(STATE_CHANGES, state).inc()
-
-    def _child(self, instrument: Instrument, *labels: str) -> MetricWrapperBase:
-        key = (instrument.name, *labels)
-        child = self._children.get(key)
-        if child is None:
-            child = self._instruments[instrument].labels(*labels)
-            self._children[key] = child
-        return child
+        self._counters[STATE_CHANGES].add(state)
 
     def _caller_label(self, caller: CallerId) -> str:
         if caller in self._callers:
@@ -214,17 +211,20 @@
     return Metrics()
 
 
-def _make(instrument: Instrument, registry: CollectorRegistry) -> MetricWrapperBase:
+def _make(
+    instrument: Instrument, registry: CollectorRegistry
+) -> CounterTally | GaugeTally | SecondsTally:
+    tally = _make_tally(instrument)
+    registry.register(tally)
+    return tally
+
+
+def _make_tally(instrument: Instrument) -> CounterTally | GaugeTally | SecondsTally:
     if instrument.kind is Kind.HISTOGRAM:
-        return Histogram(
-            instrument.name,
-            instrument.text,
-            instrument.labels,
-            buckets=SECONDS_BUCKETS,
-            registry=registry,
-        )
-    make = Counter if instrument.kind is Kind.COUNTER else Gauge
-    return make(instrument.name, instrument.text, instrument.labels, registry=registry)
+        return SecondsTally(instrument.name, instrument.text, instrument.labels)
+    if instrument.kind is Kind.COUNTER:
+        return CounterTally(instrument.name, instrument.text, instrument.labels)
+    return GaugeTally(instrument.name, instrument.text)
 
 
 def _class_label(call_class: CallClass | None) -> str:
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -57,7 +57,8 @@
     caplog.set_level("INFO", "pollenbay.requests")
     for number in range(10_000):
         timer.at = number / 1000.0
-        log.write("request failed", {"request": str(number)})
+        if log.take_room():
+            log.write("request failed", {"request": str(number)})
     assert len(caplog.records) <= LINES_BURST + 10 * LINES_PER_S + 1
     left_out = sum(record.left_out for record in caplog.records) + log.suppressed
     assert left_out + len(caplog.records) == 10_000
--- a/tests/test_metrics.py
+++ b/tests/test_metrics.py
@@ -3,9 +3,11 @@
 from dataclasses import dataclass
 
 from prometheus_client import generate_latest
+from pytest import approx
 
 from pollenbay.ids import CallerId
-from pollenbay.metrics import CALLER_LABELS_MAX, OTHER_CALLERS, make_metrics
+from pollenbay.metrics import CALLER_LABELS_MAX, MEMBERS, OTHER_CALLERS, make_metrics
+from pollenbay.outcome import Unknown
 from pollenbay.states import CallClass, Reason
 
 
@@ -22,7 +24,7 @@
     def test_callers_past_the_limit_share_one(self) -> None:
         metrics = make_metrics()
         for number in range(CALLER_LABELS_MAX + 20):
-            metrics.note_call(CallClass.NORMAL, "answered", CallerId(f"c{number}"), 0.01)
+            metrics.note_caller(CallerId(f"c{number}"), 0.01)
         text = generate_latest(metrics.registry).decode()
         assert text.count("pollenbay_caller_seconds_count") == CALLER_LABELS_MAX + 1
         assert f'pollenbay_caller_seconds_count{{caller="{OTHER_CALLERS}"}} 20.0' in text
@@ -36,6 +38,29 @@
         assert 'pollenbay_refused_total{call_class="sheddable",reason="overload"} 1.0' in text
 
 
+class TestSeconds:
+    """Times by class and outcome."""
+
+    def test_each_bucket_holds_those_below(self) -> None:
+        metrics = make_metrics()
+        for seconds in (0.002, 0.02, 0.02, 60.0):
+            metrics.note_call(CallClass.NORMAL, Unknown(Reason.DEADLINE), seconds)
+        text = generate_latest(metrics.registry).decode()
+        shown = dict(line.rsplit(" ", 1) for line in text.splitlines())
+        bucket = 'pollenbay_call_seconds_bucket{call_class="normal",le="%s",outcome="unknown"}'
+        counts = [shown[bucket % bound] for bound in ("0.001", "0.0025", "10.0", "+Inf")]
+        assert counts == ["0.0", "1.0", "3.0", "4.0"]
+        labels = '{call_class="normal",outcome="unknown"}'
+        assert shown["pollenbay_call_seconds_count" + labels] == "4.0"
+        assert float(shown["pollenbay_call_seconds_sum" + labels]) == approx(60.042)
+
+    def test_a_gauge_shows_the_last_value(self) -> None:
+        metrics = make_metrics()
+        metrics.set_gauge(MEMBERS, 3)
+        metrics.set_gauge(MEMBERS, 5)
+        assert "pollenbay_members 5.0" in generate_latest(metrics.registry).decode()
+
+
 class TestCounts:
     """Counts that other parts keep."""
 
