--- a/src/pollenbay/arrival.py
+++ b/src/pollenbay/arrival.py
@@ -3,13 +3,13 @@
 from dataclasses import dataclass, field
 
 from curio import Event
+from msgspec import Struct
 
 from pollenbay.ids import CallerId
 from pollenbay.states import CallClass, Reason
 
 
-@dataclass(frozen=True, slots=True)
-class Arrival:
+class Arrival(Struct, frozen=True):
     """A call that asks for a slot.
 
     :param call_class: class of the request that it belongs to.
@@ -25,8 +25,7 @@
     expected_s: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class Refusal:
+class Refusal(Struct, frozen=True):
     """The call was not admitted and the target saw nothing of it.
 
     :param retry_after_s: seconds after which the caller may try again.
@@ -36,8 +35,7 @@
     retry_after_s: float
 
 
-@dataclass(slots=True, eq=False)
-class Ticket:
+class Ticket(Struct, eq=False):
     """The right to occupy one slot until it is released.
 
     :param admitted_at: monotonic seconds.
--- a/src/pollenbay/call.py
+++ b/src/pollenbay/call.py
@@ -1,8 +1,9 @@
 """One call as the decisions see it, free of HTTP and of the link between nodes."""
 
-from dataclasses import dataclass
 from enum import Enum
 
+from msgspec import Struct
+
 from pollenbay.ids import (
     CallerId,
     CallName,
@@ -22,8 +23,7 @@
     TARGET = "target"
 
 
-@dataclass(slots=True)
-class Asked:
+class Asked(Struct):
     """What a caller or a target asks for, before the rules are applied.
 
     :param path: path and query as the target gets it.
@@ -43,8 +43,7 @@
     wait_s: float | None = None
 
 
-@dataclass(slots=True)
-class RouteAsked:
+class RouteAsked(Struct):
     """What a caller or a target asks for by host name and path, before a route is found.
 
     :param request: name of the request; each attempt of its caller has one of its own.
@@ -61,8 +60,7 @@
     wait_s: float | None = None
 
 
-@dataclass(slots=True)
-class Call:
+class Call(Struct):
     """A call on its way.
 
     :param request: the outside request to which it belongs.
@@ -93,8 +91,7 @@
     timed: bool = False
 
 
-@dataclass(slots=True)
-class Passage:
+class Passage(Struct):
     """Progress of a call through this node, watched while it runs.
 
     :param cancellable: whether the call may be given up when its caller leaves.
--- a/src/pollenbay/commands/serving.py
+++ b/src/pollenbay/commands/serving.py
@@ -1,9 +1,9 @@
 """Serving a call on the target beside this node: admission, claim, sending, outcome."""
 
-from dataclasses import replace
 from functools import singledispatch
 
 from curio import TaskTimeout, timeout_after
+from msgspec.structs import replace
 
 from pollenbay.account import make_account
 from pollenbay.call import Call, Passage
--- a/src/pollenbay/outcome.py
+++ b/src/pollenbay/outcome.py
@@ -3,15 +3,14 @@
 Only a call of which the target could not have seen one byte is `NotRun`.
 """
 
-from dataclasses import dataclass
+from msgspec import Struct
 
 from pollenbay.states import Reason
 
 Headers = list[tuple[bytes, bytes]]
 
 
-@dataclass(frozen=True, slots=True)
-class Answered:
+class Answered(Struct, frozen=True):
     """The target's whole answer.
 
     :param status: HTTP status of the target.
@@ -26,8 +25,7 @@
     allowance_left: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class NotRun:
+class NotRun(Struct, frozen=True):
     """The call was refused before the target could see it.
 
     :param reason: why it was refused.
@@ -40,8 +38,7 @@
     allowance_left: int = 0
 
 
-@dataclass(frozen=True, slots=True)
-class Unknown:
+class Unknown(Struct, frozen=True):
     """The call may have run and no answer is known.
 
     :param reason: what was seen last.
--- a/src/pollenbay/watch.py
+++ b/src/pollenbay/watch.py
@@ -1,11 +1,11 @@
 """Watches over calls that take long: tells peers that they go on, and ends what nobody awaits."""
 
 from collections.abc import Awaitable
-from dataclasses import dataclass
 from select import poll
 
 from curio import Task, TaskCancelled
 from curio.io import Socket
+from msgspec import Struct
 
 from pollenbay.call import Passage
 from pollenbay.ids import CallId
@@ -30,8 +30,7 @@
     """The node ends without waiting for the calls in progress."""
 
 
-@dataclass(slots=True)
-class Watched:
+class Watched(Struct):
     """A call in progress and the connection on which its answer is awaited.
 
     :param link: set if another node awaits it and wants progress messages.
