--- a/src/pollenbay/watch.py
+++ b/src/pollenbay/watch.py
@@ -140,6 +140,7 @@
         for watched in list(self._watched.values()):
             ends_at = watched.passage.ends_at
             if ends_at is not None and now > ends_at + OVERDUE_S:
+                watched.passage.ends_at = None
                 self._left += 1
                 await watched.task.cancel(blocking=False)
 
