A planned stop ends in time though the table is silent; each message of the log has its own room

Cause: the row of a leaving node is removed at the very end, with a wait of 1.5 s if the store does not answer, more than the 0.7 s kept in hand. Change: the row is removed beside the wait for the last requests and the wait for it ends with them; a leaving node does not write it again. Each message has its own now. The event loop's warnings no longer come out as plain text; its errors are lines like others.

--- a/src/pollenbay/commands/joining.py
+++ b/src/pollenbay/commands/joining.py
@@ -21,6 +21,7 @@
     read_seeds,
     remove_abandoned,
 )
+from pollenbay.states import MemberState
 
 LOG = getLogger("pollenbay.membership")
 BACKOFF_MIN_S = 0.5
@@ -80,12 +81,13 @@
 
 
 async def run_announcements(membership: Membership) -> None:
-    """Keep this node's row in the table, and clear rows that nobody renews."""
+    """Keep this node's row in the table until it leaves, and clear rows that nobody renews."""
     ticks = membership.timer.subscribe(TABLE_TICK_S)
     backoff_s = BACKOFF_MIN_S
     next_at = membership.timer.now()
     while True:
-        if membership.timer.now() >= next_at:
+        leaving = membership.me.state is MemberState.LEAVING
+        if membership.timer.now() >= next_at and not leaving:
             if await _announce(membership):
                 backoff_s = BACKOFF_MIN_S
                 wait_s = announce_period_s(len(membership.view.members))
--- a/src/pollenbay/commands/life.py
+++ b/src/pollenbay/commands/life.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from logging import getLogger
 
-from curio import TaskTimeout, sleep, timeout_after
+from curio import TaskTimeout, sleep, spawn, timeout_after
 
 from pollenbay.commands.claim import drain_ledger
 from pollenbay.commands.dispatch import execute
@@ -50,20 +50,22 @@
     """Stop taking work, wait for what is in flight and tell whether all of it has ended.
 
     Work that still arrives while the announcement spreads is served; after `leave_s` it is
-    refused as not run. Answers of claimed calls are written before the process ends.
+    refused as not run, and the node's row is removed from the table meanwhile, since a table that
+    does not answer must not hold the end up. Answers of claimed calls are written before it.
     """
     change_state(node, NodeState.DRAINING)
     announce_leaving(node.membership)
     await sleep(node.settings.leave_s)
     node.refusing = True
+    withdrawing = await spawn(withdraw, node.membership)
     try:
         await timeout_after(node.settings.drain_s, _wait_until_idle, node)
         finished = True
     except TaskTimeout:
         finished = False
     finished = await drain_ledger(node.ledger, RECORD_WAIT_S) == 0 and finished
-    await withdraw(node.membership)
     await sleep(LINGER_S)
+    await withdrawing.cancel()
     change_state(node, NodeState.STOPPED)
     return finished
 
--- a/src/pollenbay/commands/routed.py
+++ b/src/pollenbay/commands/routed.py
@@ -6,7 +6,7 @@
 from pollenbay.call import Call, Passage, RouteAsked
 from pollenbay.commands.calling import place_at_service
 from pollenbay.commands.throttle import note_end, note_entry
-from pollenbay.decisions import fields_of_call, fields_of_outcome
+from pollenbay.decisions import Decision, fields_of_call, fields_of_outcome
 from pollenbay.ids import CallerId
 from pollenbay.node import Node
 from pollenbay.outcome import Answered, NotRun, Outcome, Unknown
@@ -62,7 +62,7 @@
     if part >= 1.0 or node.random.random() < part:
         return None
     wait_s = retry_after_s(route.objective_ms / MS_PER_S, node.random.random())
-    if node.decisions.take_room():
+    if node.decisions.take_room(Decision.HELD_BACK):
         _log_held_back(node, call, room, part, wait_s, now)
     node.metrics.note_refusal(call.call_class, Reason.DOWNSTREAM_OVERLOAD)
     return NotRun(Reason.DOWNSTREAM_OVERLOAD, wait_s)
@@ -79,7 +79,7 @@
         "admitted_part": part,
         "retry_after_s": wait_s,
     }
-    node.decisions.write("held back at the entry", fields)
+    node.decisions.write(Decision.HELD_BACK, fields)
 
 
 def _note_own_route(node: Node, call: Call, now: float) -> None:
@@ -93,7 +93,7 @@
     node.metrics.note_call(call.call_class, outcome, now - began_at)
     failed = not isinstance(outcome, Answered) or outcome.status >= STATUS_SERVER_ERROR
     below = node.saturation.rooms.get(call.service, UNKNOWN_ROOM).below
-    if failed and node.decisions.take_room():
+    if failed and node.decisions.take_room(Decision.FAILED):
         _log_failure(node, call, outcome, below, now)
     if below < FULL_LEVEL:
         note_end(node.throttle, call.name, failed, now)
@@ -107,7 +107,7 @@
         "rule_version": node.rulebook.version,
         "level_below": below,
     }
-    node.decisions.write("request failed", fields)
+    node.decisions.write(Decision.FAILED, fields)
 
 
 async def _place_in_time(node: Node, call: Call, route: Route, passage: Passage) -> Outcome:
--- a/src/pollenbay/commands/serving.py
+++ b/src/pollenbay/commands/serving.py
@@ -11,7 +11,7 @@
 from pollenbay.commands.admission import abandon, admit, release
 from pollenbay.commands.claim import abandon_claim, record_answer, release_claim, take_claim
 from pollenbay.contexts import Context
-from pollenbay.decisions import fields_of_call, fields_of_outcome
+from pollenbay.decisions import Decision, fields_of_call, fields_of_outcome
 from pollenbay.gate import Arrival, Refusal, Ticket, Waiter
 from pollenbay.httpclient import HttpClient
 from pollenbay.ids import ContextKey
@@ -37,7 +37,8 @@
     """
     outcome = await _serve(node, call, allowance, passage)
     note_outcome(outcome, node.metrics, call)
-    if not isinstance(outcome, Answered) and node.decisions.take_room():
+    answered = isinstance(outcome, Answered)
+    if not answered and node.decisions.take_room(Decision.NOT_ANSWERED):
         _log_end(node, call, outcome)
     return outcome
 
@@ -54,7 +55,7 @@
         "limit": node.gate.limit.value,
         "queued": len(node.gate.line),
     }
-    node.decisions.write("not answered beside the target", fields)
+    node.decisions.write(Decision.NOT_ANSWERED, fields)
 
 
 @singledispatch
--- a/src/pollenbay/decisions.py
+++ b/src/pollenbay/decisions.py
@@ -1,5 +1,7 @@
 """Log lines on single requests, bounded in number so that a flood of refusals costs little."""
 
+from dataclasses import dataclass
+from enum import Enum
 from functools import singledispatch
 from logging import getLogger
 
@@ -8,44 +10,65 @@
 from pollenbay.timer import Timer
 
 LOG = getLogger("pollenbay.requests")
-#: Lines a second in the long run; the counters tell of the rest.
+#: Lines a second of each message in the long run; the counters tell of the rest.
 LINES_PER_S = 10.0
 #: Lines that may follow each other at once.
 LINES_BURST = 50.0
 
 
+class Decision(Enum):
+    """Decisions that lines tell of; the value is the message."""
+
+    HELD_BACK = "held back at the entry"
+    FAILED = "request failed"
+    NOT_ANSWERED = "not answered beside the target"
+
+
+@dataclass(slots=True)
+class Room:
+    """Room for the lines of one message.
+
+    :param lines: how many may be written now.
+    :param filled_at: monotonic seconds up to which room was added.
+    :param left_out: lines left out since the last one that was written.
+    """
+
+    filled_at: float
+    lines: float = LINES_BURST
+    left_out: int = 0
+
+
 class DecisionLog:
-    """Writes a line for a decision on a request while there is room for one.
+    """Writes a line for a decision on a request while there is room for one of its kind.
 
-    Room is taken before the fields are put together, which costs more than most decisions.
+    Each message has room of its own, so that a flood of refusals does not hide a rare failure. Room
+    is taken before the fields are put together, which costs more than most decisions.
     """
 
     def __init__(self, timer: Timer) -> None:
         self._timer = timer
-        self._lines = LINES_BURST
-        self._filled_at = timer.now()
-        self._suppressed = 0
+        self._rooms = {decision: Room(timer.now()) for decision in Decision}
 
-    @property
-    def suppressed(self) -> int:
+    def left_out(self, decision: Decision) -> int:
         """Return how many lines were left out since the last one that was written."""
-        return self._suppressed
+        return self._rooms[decision].left_out
 
-    def take_room(self) -> bool:
+    def take_room(self, decision: Decision) -> bool:
         """Take the room for one line and tell whether there was some; if not, it is left out."""
-        now = self._timer.now()
-        self._lines = min(self._lines + (now - self._filled_at) * LINES_PER_S, LINES_BURST)
-        self._filled_at = now
-        if self._lines < 1.0:
-            self._suppressed += 1
+        now, room = self._timer.now(), self._rooms[decision]
+        room.lines = min(room.lines + (now - room.filled_at) * LINES_PER_S, LINES_BURST)
+        room.filled_at = now
+        if room.lines < 1.0:
+            room.left_out += 1
             return False
-        self._lines -= 1.0
+        room.lines -= 1.0
         return True
 
-    def write(self, message: str, fields: dict[str, object]) -> None:
+    def write(self, decision: Decision, fields: dict[str, object]) -> None:
         """Write a line for which room was taken."""
-        LOG.info(message, extra={**fields, "left_out": self._suppressed})
-        self._suppressed = 0
+        room = self._rooms[decision]
+        LOG.info(decision.value, extra={**fields, "left_out": room.left_out})
+        room.left_out = 0
 
 
 def make_decision_log(timer: Timer) -> DecisionLog:
--- a/src/pollenbay/logs.py
+++ b/src/pollenbay/logs.py
@@ -1,6 +1,6 @@
 """Log lines as JSON on standard output, one for each change of state and each decision shown."""
 
-from logging import StreamHandler, getLogger
+from logging import ERROR, StreamHandler, getLogger
 from os import set_blocking, write
 from sys import stdout
 
@@ -46,7 +46,9 @@
 
 
 def start_logs(level: str, instance: InstanceId, host: HostId) -> None:
-    """Send the log lines of the package to standard output.
+    """Send the log lines of the package, and the errors of the event loop, to standard output.
+
+    The event loop warns of each operation that ends just past its time limit, which is no failure.
 
     :param level: as in Python's logging.
     """
@@ -57,6 +59,10 @@
     root.handlers = [handler]
     root.setLevel(level)
     root.propagate = False
+    loop = getLogger("curio")
+    loop.handlers = [handler]
+    loop.setLevel(ERROR)
+    loop.propagate = False
 
 
 def set_log_level(level: str) -> None:
--- a/tests/platform_node.py
+++ b/tests/platform_node.py
@@ -118,6 +118,10 @@
         """Return what the instance ran."""
         return send(self.instance.control_port, "/log").json()["runs"]
 
+    def has_run(self, name: str) -> bool:
+        """Tell whether the instance has begun to run a request."""
+        return any(run["name"] == name for run in self.runs())
+
     def serve(self, *paths: dict[str, Any]) -> Process:
         """Publish routes, start the node and wait until it serves."""
         self.publish(config(1, *paths))
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,12 +1,15 @@
 """Log lines never block, and lines on single requests are bounded."""
 
 import json
+from logging import getLogger
 from os import close, pipe, read
+from types import SimpleNamespace
 
 from pytest import fixture
 
-from pollenbay.decisions import LINES_BURST, LINES_PER_S, make_decision_log
-from pollenbay.logs import DroppingStream
+from pollenbay.decisions import LINES_BURST, LINES_PER_S, Decision, make_decision_log
+from pollenbay.ids import HostId, InstanceId
+from pollenbay.logs import DroppingStream, start_logs
 from pollenbay.timer import Timer
 
 PIPE_BYTES = 65536
@@ -57,8 +60,29 @@
     caplog.set_level("INFO", "pollenbay.requests")
     for number in range(10_000):
         timer.at = number / 1000.0
-        if log.take_room():
-            log.write("request failed", {"request": str(number)})
+        if log.take_room(Decision.HELD_BACK):
+            log.write(Decision.HELD_BACK, {"request": str(number)})
     assert len(caplog.records) <= LINES_BURST + 10 * LINES_PER_S + 1
-    left_out = sum(record.left_out for record in caplog.records) + log.suppressed
+    left_out = sum(record.left_out for record in caplog.records) + log.left_out(Decision.HELD_BACK)
     assert left_out + len(caplog.records) == 10_000
+
+
+def test_a_flood_of_one_message_leaves_room_for_another() -> None:
+    log = make_decision_log(SteppedTimer())
+    while log.take_room(Decision.HELD_BACK):
+        pass
+    assert log.take_room(Decision.FAILED)
+
+
+def test_errors_of_the_event_loop_are_lines_and_its_warnings_are_not(monkeypatch, ends) -> None:
+    reader, writer = ends
+    for name in ("pollenbay", "curio"):
+        logger = getLogger(name)
+        for attribute in ("handlers", "level", "propagate"):
+            monkeypatch.setattr(logger, attribute, getattr(logger, attribute))
+    monkeypatch.setattr("pollenbay.logs.stdout", SimpleNamespace(fileno=lambda: writer))
+    start_logs("INFO", InstanceId("node-1"), HostId("host-1"))
+    getLogger("curio.time").warning("slow")
+    getLogger("curio.kernel").error("crashed")
+    lines = [json.loads(line) for line in read(reader, PIPE_BYTES).splitlines()]
+    assert [(line["message"], line["instance"]) for line in lines] == [("crashed", "node-1")]
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from signal import SIGHUP
 from time import monotonic
@@ -185,6 +186,19 @@
         assert node.wait() == 0
         assert monotonic() - begun_at < 2.0
 
+    def test_planned_stop_ends_within_the_grace_though_nothing_answers(
+        self, platform: PlatformNode
+    ) -> None:
+        node = platform.serve(path("/safe/"))
+        with ThreadPoolExecutor(1) as pool:
+            pool.submit(platform.ask, "/safe/?work_s=5", name="slow")
+            wait_until(lambda: platform.has_run("slow"), WITHIN_S, "the instance to run it")
+            platform.fault("silent")
+            begun_at = monotonic()
+            node.terminate()
+            node.wait()
+            assert monotonic() - begun_at < 2.0
+
     def test_hangup_keeps_serving_and_reloads(self, platform: PlatformNode) -> None:
         node = platform.serve(path("/safe/"))
         text = platform.settings_path.read_text(encoding="utf-8")
