--- a/src/pollenbay/selector.py
+++ b/src/pollenbay/selector.py
@@ -13,7 +13,6 @@
 
 MS_PER_S = 1000.0
 NO_LIMIT = -1
-NO_DESCRIPTOR = -1
 
 
 class KeepingSelector(BaseSelector):
@@ -24,15 +23,13 @@
         self._keys: dict[int, SelectorKey] = {}
         #: What the system has: the file object and the events, also of those nobody waits for.
         self._kept: dict[int, tuple[object, int]] = {}
-        #: The file object asked for last, since the event loop asks for each several times.
-        self._last: tuple[object, int] = (None, NO_DESCRIPTOR)
 
     def register(self, fileobj: object, events: int, data: object = None) -> SelectorKey:
         """Begin to wait for a file object.
 
         :raises KeyError: if it is waited for already.
         """
-        descriptor = self._descriptor_of(fileobj)
+        descriptor = _descriptor_of(fileobj)
         if descriptor in self._keys:
             raise KeyError(descriptor)
         key = SelectorKey(fileobj, descriptor, events, data)
@@ -47,7 +44,7 @@
 
         :raises KeyError: if it is not waited for.
         """
-        key = self._keys.pop(self._descriptor_of(fileobj))
+        key = self._keys.pop(_descriptor_of(fileobj))
         if isinstance(key.fileobj, int):
             self._drop(key.fd)
         return key
@@ -57,7 +54,7 @@
 
         :raises KeyError: if it is not waited for.
         """
-        key = self._keys[self._descriptor_of(fileobj)]
+        key = self._keys[_descriptor_of(fileobj)]
         if events != key.events:
             self._tell(key.fd, key.fileobj, events)
         changed = key._replace(events=events, data=data)
@@ -85,7 +82,7 @@
 
         :raises KeyError: if it is not waited for.
         """
-        return self._keys[self._descriptor_of(fileobj)]
+        return self._keys[_descriptor_of(fileobj)]
 
     def get_map(self) -> Mapping[int, SelectorKey]:
         """Return the keys by descriptor."""
@@ -97,14 +94,6 @@
         self._keys.clear()
         self._kept.clear()
 
-    def _descriptor_of(self, fileobj: object) -> int:
-        last, descriptor = self._last
-        if fileobj is last:
-            return descriptor
-        descriptor = fileobj if isinstance(fileobj, int) else fileobj.fileno()
-        self._last = fileobj, descriptor
-        return descriptor
-
     def _tell(self, descriptor: int, fileobj: object, events: int) -> None:
         """Let the system know what to report, unless it knows."""
         kept = self._kept.get(descriptor)
@@ -131,6 +120,10 @@
     return KeepingSelector()
 
 
+def _descriptor_of(fileobj: object) -> int:
+    return fileobj if isinstance(fileobj, int) else fileobj.fileno()
+
+
 def _limit(timeout: float | None) -> float:
     """Return seconds in whole milliseconds, rounded up, so that no wait ends too soon."""
     if timeout is None:
