--- a/src/pollenbay/decisions.py
+++ b/src/pollenbay/decisions.py
@@ -25,7 +25,7 @@
 
 
 @dataclass(slots=True)
-class Room:
+class LineRoom:
     """Room for the lines of one message.
 
     :param lines: how many may be written now.
@@ -47,7 +47,7 @@
 
     def __init__(self, timer: Timer) -> None:
         self._timer = timer
-        self._rooms = {decision: Room(timer.now()) for decision in Decision}
+        self._rooms = {decision: LineRoom(timer.now()) for decision in Decision}
 
     def left_out(self, decision: Decision) -> int:
         """Return how many lines were left out since the last one that was written."""
