A started node serves a quarter of a second earlier

The membership's watch looks each 0.25 s, and two rounds are needed; besides, the timer slept 0.25 s first, since it ran before anybody had subscribed. Change: rounds of 0.05 s until the node is ready; the timer is started last.

--- a/src/pollenbay/commands/gossiping.py
+++ b/src/pollenbay/commands/gossiping.py
@@ -10,7 +10,7 @@
 from pollenbay.commands.membership import announce_state, check_contacts, update_peers
 from pollenbay.commands.peering import push_urgent, run_peer, serve_question
 from pollenbay.commands.pulling import run_polls, run_pulls
-from pollenbay.gossip import HEARTBEAT_S, WATCH_S
+from pollenbay.gossip import HEARTBEAT_S, START_WATCH_S, WATCH_S
 from pollenbay.ids import InstanceId
 from pollenbay.membership import Membership
 from pollenbay.news import Answer, Question
@@ -85,7 +85,7 @@
 
 async def _watch(membership: Membership) -> None:
     """Check the contacts, and keep one task for each chosen peer."""
-    ticks = membership.timer.subscribe(WATCH_S)
+    ticks, start_ticks = (membership.timer.subscribe(each) for each in (WATCH_S, START_WATCH_S))
     renewed_at = membership.timer.now() - HEARTBEAT_S
     changes = -1
     while True:
@@ -100,7 +100,9 @@
         _note_ready(membership)
         await _keep_peers(membership)
         await push_urgent(membership)
-        await ticks.wait()
+        if membership.ready:
+            start_ticks.cancel()
+        await (ticks if membership.ready else start_ticks).wait()
 
 
 def _check(membership: Membership, now: float) -> None:
--- a/src/pollenbay/daemon.py
+++ b/src/pollenbay/daemon.py
@@ -165,13 +165,14 @@
 
 
 def _common_parts(node: Node, listeners: Listeners, adapter: Adapter) -> list[Awaitable[None]]:
+    """Return what every node runs; the timer comes last, so that it begins with subscribers."""
     return [
-        node.timer.run(),
         node.watch.run(node.timer),
         run_membership(node.membership, adapter.run_rules),
         keep_up(node),
         accept_streams(listeners.link, partial(serve_link, node)),
         accept_streams(listeners.admin, partial(serve_admin, node)),
+        node.timer.run(),
     ]
 
 
--- a/src/pollenbay/gossip.py
+++ b/src/pollenbay/gossip.py
@@ -8,6 +8,9 @@
 
 HEARTBEAT_S = 1.0
 WATCH_S = 0.25
+#: The same until the node may serve, which takes two rounds: one to choose peers, one to see that
+#: they were asked.
+START_WATCH_S = 0.05
 #: Silence of a contact after which it is suspected.
 SUSPECT_S = 2.0
 #: Time a suspect has to refute before it is declared dead.
