One piece of code for what stood two to four times

Read-through of the whole change; behaviour stays as it is, no test is touched. - Watched and ended early: four front ends wrapped outcome_or_end in watch.over; the watch does both. Its two context classes were one. - Whether a call is claimed, whether an outcome is sound, the deadline from the rule's and the caller's wait, and how full the gate is were each worked out in two or three places: Call.claimed, is_sound, deadline_of, taken_part.

--- a/src/pollenbay/budget.py
+++ b/src/pollenbay/budget.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from pollenbay.bucket import make_bucket
 from pollenbay.ids import ServiceName
 from pollenbay.states import CallClass
 
@@ -29,22 +30,12 @@
 DEFAULT_TERMS = RetryTerms()
 
 
-class Bucket:
-    """Retries saved up by one class."""
-
-    __slots__ = ("retries", "filled_at")
-
-    def __init__(self, retries: float) -> None:
-        self.retries = retries
-        self.filled_at: float | None = None
-
-
 class RetryBudget:
     """One bucket for each class."""
 
     def __init__(self, terms: RetryTerms = DEFAULT_TERMS) -> None:
         self._terms = terms
-        self._buckets = [Bucket(terms.burst) for _ in CallClass]
+        self._buckets = [make_bucket(terms.per_s, terms.burst) for _ in CallClass]
 
     @property
     def terms(self) -> RetryTerms:
@@ -53,23 +44,15 @@
 
     def left(self, call_class: CallClass) -> float:
         """Return the retries saved up for a class."""
-        return self._buckets[call_class.rank].retries
+        return self._buckets[call_class.rank].left
 
     def earn(self, call_class: CallClass, retries: float, now: float) -> None:
         """Add retries, and those that the time since the last use has brought."""
-        bucket = self._buckets[call_class.rank]
-        if bucket.filled_at is not None:
-            retries += (now - bucket.filled_at) * self._terms.per_s
-        bucket.filled_at = now
-        bucket.retries = min(bucket.retries + retries, self._terms.burst)
+        self._buckets[call_class.rank].fill(now, retries)
 
     def spend(self, call_class: CallClass) -> bool:
         """Use up one retry of a class, if there is one."""
-        bucket = self._buckets[call_class.rank]
-        if bucket.retries < 1.0:
-            return False
-        bucket.retries -= 1.0
-        return True
+        return self._buckets[call_class.rank].spend()
 
 
 class RetryBudgets:
--- a/src/pollenbay/call.py
+++ b/src/pollenbay/call.py
@@ -15,6 +15,8 @@
 from pollenbay.outcome import Headers
 from pollenbay.states import CallClass
 
+MS_PER_S = 1000.0
+
 
 class Entrance(Enum):
     """Where a call came in."""
@@ -90,6 +92,11 @@
     origin: ServiceName = ServiceName("")
     timed: bool = False
 
+    @property
+    def claimed(self) -> bool:
+        """Tell whether its key is claimed before it runs, and its answer recorded."""
+        return not self.idempotent and self.idempotency_key is not None
+
 
 class Passage(Struct):
     """Progress of a call through this node, watched while it runs.
@@ -105,3 +112,13 @@
     sent: bool = False
     own_s: float = 0.0
     ends_at: float | None = None
+
+
+def deadline_of(wait_ms: int, asked_s: float | None, now: float) -> float:
+    """Return the monotonic seconds by which an answer must be with its caller.
+
+    :param wait_ms: longest wait by the rules, in milliseconds.
+    :param asked_s: longest wait of the caller, in seconds, if it says so.
+    """
+    wait_s = wait_ms / MS_PER_S
+    return now + (wait_s if asked_s is None else min(wait_s, asked_s))
--- a/src/pollenbay/callers.py
+++ b/src/pollenbay/callers.py
@@ -26,7 +26,7 @@
     response_of,
     response_to_bad_request,
 )
-from pollenbay.watch import Watched, outcome_or_end
+from pollenbay.watch import Watched
 
 #: A connection that always has a next request lets the other tasks run after so many.
 REQUESTS_PER_TURN = 8
@@ -129,9 +129,9 @@
     except TranslationError:
         return _refuse_bad(node, Source.CALLERS)
     passage = Passage()
-    with node.watch.over(Watched(connection.sock, connection.task, passage)):
-        work = enter_from_caller(node, asked, origin, passage)
-        outcome = await outcome_or_end(passage, work)
+    watched = Watched(connection.sock, connection.task, passage)
+    work = enter_from_caller(node, asked, origin, passage)
+    outcome = await node.watch.outcome_or_end(watched, work)
     _note_call(node, asked, asked.caller or origin, outcome, node.timer.now() - started_at)
     return response_of(outcome)
 
@@ -146,8 +146,8 @@
     except TranslationError:
         return _refuse_bad(node, Source.OUTBOUND)
     passage = Passage()
-    with node.watch.over(Watched(connection.sock, connection.task, passage)):
-        outcome = await outcome_or_end(passage, enter_from_target(node, asked, passage))
+    watched = Watched(connection.sock, connection.task, passage)
+    outcome = await node.watch.outcome_or_end(watched, enter_from_target(node, asked, passage))
     return response_of(outcome)
 
 
--- a/src/pollenbay/commands/calling.py
+++ b/src/pollenbay/commands/calling.py
@@ -29,7 +29,7 @@
     outcome_of,
 )
 from pollenbay.node import Node
-from pollenbay.outcome import Answered, NotRun, Outcome, Unknown
+from pollenbay.outcome import NotRun, Outcome, Unknown, is_sound
 from pollenbay.queries.pressure import refuse_at_entry
 from pollenbay.queries.retry import is_retriable, outcome_to_tell
 from pollenbay.queries.rules import find_call
@@ -148,9 +148,7 @@
     if isinstance(outcome, NotRun):
         refused_by_load = outcome.reason is not Reason.CONNECT_FAILED
         return AttemptResult.REFUSED if refused_by_load else AttemptResult.FAILED
-    if isinstance(outcome, Answered) and outcome.status < 500:
-        return AttemptResult.ANSWERED
-    return AttemptResult.FAILED
+    return AttemptResult.ANSWERED if is_sound(outcome) else AttemptResult.FAILED
 
 
 async def _reach(
@@ -158,7 +156,7 @@
 ) -> Outcome:
     if member.instance != node.settings.instance:
         return await _forward(node, call, allowance, passage, member)
-    if call.idempotent or call.idempotency_key is None:
+    if not call.claimed:
         return await serve(node, call, allowance, passage)
     return await _serve_to_the_end(node, call, allowance, passage)
 
--- a/src/pollenbay/commands/entry.py
+++ b/src/pollenbay/commands/entry.py
@@ -1,7 +1,7 @@
 """Entry of calls: from what was asked to a call with a deadline and an allowance of retries."""
 
 from pollenbay.account import make_account
-from pollenbay.call import Asked, Call, Entrance, Passage
+from pollenbay.call import Asked, Call, Entrance, Passage, deadline_of
 from pollenbay.commands.calling import place
 from pollenbay.contexts import Context
 from pollenbay.ids import CallerId, make_request_id
@@ -11,8 +11,6 @@
 from pollenbay.rule import CallRule
 from pollenbay.states import Reason
 
-MS_PER_S = 1000.0
-
 
 async def enter_from_caller(
     node: Node, asked: Asked, origin: CallerId, passage: Passage
@@ -55,9 +53,6 @@
 
 
 def _make_call(node: Node, asked: Asked, rule: CallRule, caller: CallerId) -> Call:
-    wait_s = rule.wait_ms / MS_PER_S
-    if asked.wait_s is not None:
-        wait_s = min(wait_s, asked.wait_s)
     return Call(
         request=make_request_id(),
         service=asked.service,
@@ -68,7 +63,7 @@
         path=asked.path,
         headers=asked.headers,
         body=asked.body,
-        deadline=node.timer.now() + wait_s,
+        deadline=deadline_of(rule.wait_ms, asked.wait_s, node.timer.now()),
         idempotency_key=asked.idempotency_key,
         idempotent=rule.idempotent,
         has_calls=bool(rule.calls),
--- a/src/pollenbay/commands/routed.py
+++ b/src/pollenbay/commands/routed.py
@@ -3,21 +3,19 @@
 from curio import TaskTimeout, timeout_after
 
 from pollenbay.account import make_account
-from pollenbay.call import Call, Passage, RouteAsked
+from pollenbay.call import MS_PER_S, Call, Passage, RouteAsked, deadline_of
 from pollenbay.commands.calling import place_at_service
 from pollenbay.commands.throttle import note_end, note_entry
 from pollenbay.decisions import Decision, fields_of_call, fields_of_outcome
 from pollenbay.ids import CallerId
 from pollenbay.node import Node
-from pollenbay.outcome import Answered, NotRun, Outcome, Unknown
+from pollenbay.outcome import NotRun, Outcome, Unknown, is_sound
 from pollenbay.queries.routes import choose_destination, find_route
 from pollenbay.queries.throttle import admitted_part, retry_after_s
 from pollenbay.rule import Route
 from pollenbay.saturation import FULL_LEVEL, Room
 from pollenbay.states import Reason
 
-MS_PER_S = 1000.0
-STATUS_SERVER_ERROR = 500
 #: Other targets tried for one request after refusals, which cost a few milliseconds each.
 FREE_REFUSALS = 2
 #: A node that has just started gets its rules within about this time.
@@ -91,7 +89,7 @@
 def _note_end(node: Node, call: Call, outcome: Outcome, began_at: float) -> None:
     now = node.timer.now()
     node.metrics.note_call(call.call_class, outcome, now - began_at)
-    failed = not isinstance(outcome, Answered) or outcome.status >= STATUS_SERVER_ERROR
+    failed = not is_sound(outcome)
     below = node.saturation.rooms.get(call.service, UNKNOWN_ROOM).below
     if failed and node.decisions.take_room(Decision.FAILED):
         _log_failure(node, call, outcome, below, now)
@@ -121,9 +119,6 @@
 
 
 def _make_routed_call(node: Node, asked: RouteAsked, route: Route) -> Call:
-    wait_s = route.wait_ms / MS_PER_S
-    if asked.wait_s is not None:
-        wait_s = min(wait_s, asked.wait_s)
     return Call(
         request=asked.request,
         service=choose_destination(route, node.random.random()),
@@ -134,7 +129,7 @@
         path=asked.path,
         headers=asked.headers,
         body=asked.body,
-        deadline=node.timer.now() + wait_s,
+        deadline=deadline_of(route.wait_ms, asked.wait_s, node.timer.now()),
         idempotent=route.idempotent,
         origin=node.settings.service,
         timed=True,
--- a/src/pollenbay/commands/saturation.py
+++ b/src/pollenbay/commands/saturation.py
@@ -2,6 +2,7 @@
 
 from pollenbay.gate import Gate
 from pollenbay.ids import InstanceId, ServiceName
+from pollenbay.queries.admission import taken_part
 from pollenbay.queries.saturation import level_of, lowest_below
 from pollenbay.saturation import FULL_LEVEL, Reading, Room, Saturation
 
@@ -21,8 +22,7 @@
 
 def measure(saturation: Saturation, gate: Gate, period_s: float) -> None:
     """Take a sample of the own target and move its level; called once each period."""
-    taken = (gate.in_flight + len(gate.line)) / gate.limit.value
-    sample = taken + REFUSED_WEIGHT * saturation.take_refused_part()
+    sample = taken_part(gate) + REFUSED_WEIGHT * saturation.take_refused_part()
     value = saturation.value + SAMPLE_WEIGHT * (sample - saturation.value)
     deviation = min(max(WANTED_SATURATION - value, DEVIATION_MIN), DEVIATION_MAX)
     level = saturation.level + GAIN_PER_S * deviation * period_s
--- a/src/pollenbay/commands/serving.py
+++ b/src/pollenbay/commands/serving.py
@@ -18,14 +18,13 @@
 from pollenbay.ledger import Ledger
 from pollenbay.metrics import Metrics
 from pollenbay.node import Node
-from pollenbay.outcome import Answered, NotRun, Outcome, Unknown
+from pollenbay.outcome import Answered, NotRun, Outcome, Unknown, is_sound
 from pollenbay.states import NodeState, Reason, TargetState
 from pollenbay.target import TargetAnswerError, TargetConnectError
 
 RETRY_AFTER_S = 1.0
 #: How long past its deadline the answer of a non-idempotent call is still awaited and recorded.
 RECORD_GRACE_S = 10.0
-STATUS_SERVER_ERROR = 500
 NO_CONTEXT = ContextKey("")
 
 
@@ -130,7 +129,7 @@
     sound = False
     try:
         outcome = await _run(node, call, allowance, passage)
-        sound = _is_sound(outcome)
+        sound = is_sound(outcome)
         return outcome
     finally:
         now = node.timer.now()
@@ -139,12 +138,8 @@
         await wake(release(node.gate, ticket, latency_s, sound, now, passage.own_s))
 
 
-def _is_sound(outcome: Outcome) -> bool:
-    return isinstance(outcome, Answered) and outcome.status < STATUS_SERVER_ERROR
-
-
 async def _run(node: Node, call: Call, allowance: int, passage: Passage) -> Outcome:
-    if call.idempotent or call.idempotency_key is None:
+    if not call.claimed:
         return await _send(node, call, allowance, passage)
     passage.cancellable = False
     claim = await take_claim(node.ledger, _claim_request(node, call))
@@ -221,13 +216,13 @@
     if time_left_s <= 0:
         await node.target.keep(client, node.timer.now())
         return NotRun(Reason.DEADLINE)
-    recorded = not call.idempotent and call.idempotency_key is not None
     passage.cancellable = call.idempotent
     passage.sent = True
-    limit_s: float | None = time_left_s + RECORD_GRACE_S if recorded else time_left_s
-    if call.timed and not recorded:
-        passage.ends_at = call.deadline
-        limit_s = None
+    limit_s: float | None = time_left_s
+    if call.claimed:
+        limit_s = time_left_s + RECORD_GRACE_S
+    elif call.timed:
+        limit_s, passage.ends_at = None, call.deadline
     try:
         return await node.target.run(client, call, key, time_left_s, limit_s, node.timer.now)
     except TargetAnswerError as error:
--- a/src/pollenbay/decisions.py
+++ b/src/pollenbay/decisions.py
@@ -1,12 +1,13 @@
 """Log lines on single requests, bounded in number so that a flood of refusals costs little."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from enum import Enum
-from functools import singledispatch
+from functools import partial, singledispatch
 from logging import getLogger
 
+from pollenbay.bucket import Bucket, make_bucket
 from pollenbay.call import Call
-from pollenbay.outcome import Answered, NotRun, Outcome, Unknown
+from pollenbay.outcome import OUTCOME_NAMES, Answered, NotRun, Outcome, Unknown
 from pollenbay.timer import Timer
 
 LOG = getLogger("pollenbay.requests")
@@ -29,12 +30,10 @@
     """Room for the lines of one message.
 
     :param lines: how many may be written now.
-    :param filled_at: monotonic seconds up to which room was added.
     :param left_out: lines left out since the last one that was written.
     """
 
-    filled_at: float
-    lines: float = LINES_BURST
+    lines: Bucket = field(default_factory=partial(make_bucket, LINES_PER_S, LINES_BURST))
     left_out: int = 0
 
 
@@ -47,7 +46,7 @@
 
     def __init__(self, timer: Timer) -> None:
         self._timer = timer
-        self._rooms = {decision: LineRoom(timer.now()) for decision in Decision}
+        self._rooms = {decision: LineRoom() for decision in Decision}
 
     def left_out(self, decision: Decision) -> int:
         """Return how many lines were left out since the last one that was written."""
@@ -55,14 +54,12 @@
 
     def take_room(self, decision: Decision) -> bool:
         """Take the room for one line and tell whether there was some; if not, it is left out."""
-        now, room = self._timer.now(), self._rooms[decision]
-        room.lines = min(room.lines + (now - room.filled_at) * LINES_PER_S, LINES_BURST)
-        room.filled_at = now
-        if room.lines < 1.0:
-            room.left_out += 1
-            return False
-        room.lines -= 1.0
-        return True
+        room = self._rooms[decision]
+        room.lines.fill(self._timer.now())
+        if room.lines.spend():
+            return True
+        room.left_out += 1
+        return False
 
     def write(self, decision: Decision, fields: dict[str, object]) -> None:
         """Write a line for which room was taken."""
@@ -90,14 +87,9 @@
 
 @fields_of_outcome.register
 def _(outcome: Answered) -> dict[str, object]:
-    return {"outcome": "answered", "status": outcome.status}
-
-
-@fields_of_outcome.register
-def _(outcome: NotRun) -> dict[str, object]:
-    return {"outcome": "not-run", "reason": outcome.reason.value}
+    return {"outcome": OUTCOME_NAMES[Answered], "status": outcome.status}
 
 
 @fields_of_outcome.register
-def _(outcome: Unknown) -> dict[str, object]:
-    return {"outcome": "unknown", "reason": outcome.reason.value}
+def _(outcome: NotRun | Unknown) -> dict[str, object]:
+    return {"outcome": OUTCOME_NAMES[type(outcome)], "reason": outcome.reason.value}
--- a/src/pollenbay/http1.py
+++ b/src/pollenbay/http1.py
@@ -110,8 +110,8 @@
     :param dropped: names in lower case of others that do not pass.
     """
     named = _headers_named_by_connection(headers)
-    kept_back = HOP_HEADERS | dropped | named
-    return [pair for pair in headers if pair[0] not in kept_back]
+    kept_back = dropped | named if named else dropped
+    return [pair for pair in headers if pair[0] not in HOP_HEADERS and pair[0] not in kept_back]
 
 
 def _headers_named_by_connection(headers: Headers) -> frozenset[bytes]:
--- a/src/pollenbay/linking.py
+++ b/src/pollenbay/linking.py
@@ -9,7 +9,7 @@
 from pollenbay.message import AnyLinkMessage, CallMessage, ReplyMessage, make_call, reply_to
 from pollenbay.node import Node
 from pollenbay.queries.telling import news_to_tell
-from pollenbay.watch import Watched, outcome_or_end
+from pollenbay.watch import Watched
 
 SOURCE = "link"
 CALLS_PER_TURN = 8
@@ -55,7 +55,6 @@
     call = make_call(message, node.timer.now())
     passage = Passage()
     watched = Watched(link.sock, task, passage, link, message.call_id)
-    with node.watch.over(watched):
-        work = serve(node, call, message.allowance, passage)
-        outcome = await outcome_or_end(passage, work)
+    work = serve(node, call, message.allowance, passage)
+    outcome = await node.watch.outcome_or_end(watched, work)
     return reply_to(outcome, message.call_id)
--- a/src/pollenbay/metrics.py
+++ b/src/pollenbay/metrics.py
@@ -9,13 +9,12 @@
 from prometheus_client.registry import Collector
 
 from pollenbay.ids import CallerId
-from pollenbay.outcome import Answered, NotRun, Outcome, Unknown
+from pollenbay.outcome import OUTCOME_NAMES, Outcome
 from pollenbay.states import CallClass, Reason
 from pollenbay.tally import CounterTally, GaugeTally, SecondsTally
 
 CALLER_LABELS_MAX = 50
 OTHER_CALLERS = "other"
-OUTCOME_LABELS = {Answered: "answered", NotRun: "not-run", Unknown: "unknown"}
 #: Class label of a call that no rule names.
 NO_CLASS = "none"
 
@@ -28,9 +27,9 @@
     HISTOGRAM = "histogram"
 
 
-@dataclass(frozen=True, slots=True)
+@dataclass(frozen=True, slots=True, eq=False)
 class Instrument:
-    """Description of one instrument."""
+    """Description of one instrument, each one its own key."""
 
     name: str
     kind: Kind
@@ -135,14 +134,7 @@
     def __init__(self) -> None:
         self._registry = CollectorRegistry()
         self._callers: set[CallerId] = set()
-        made = {each: _make(each, self._registry) for each in INSTRUMENTS}
-        self._counters = {each: tally for each, tally in made.items() if each.kind is Kind.COUNTER}
-        self._gauges = {each: tally for each, tally in made.items() if each.kind is Kind.GAUGE}
-        self._call_seconds: SecondsTally = made[CALL_SECONDS]
-        self._caller_seconds: SecondsTally = made[CALLER_SECONDS]
-        self._queue_seconds: SecondsTally = made[QUEUE_SECONDS]
-        self._target_seconds: SecondsTally = made[TARGET_SECONDS]
-        self._attempts: CounterTally = made[ATTEMPTS]
+        self._tallies = {each: _make(each, self._registry) for each in INSTRUMENTS}
 
     @property
     def registry(self) -> CollectorRegistry:
@@ -151,7 +143,7 @@
 
     def set_gauge(self, instrument: Instrument, value: float) -> None:
         """Set a gauge."""
-        self._gauges[instrument].set(value)
+        self._tallies[instrument].set(value)
 
     def add_counts(self, prefix: str, part: object, names: tuple[str, ...]) -> None:
         """Offer integer attributes of a part as counters."""
@@ -159,43 +151,43 @@
 
     def note_call(self, call_class: CallClass | None, outcome: Outcome, seconds: float) -> None:
         """Count a request that entered here and has its outcome."""
-        label = OUTCOME_LABELS[type(outcome)]
-        self._call_seconds.observe(seconds, _class_label(call_class), label)
+        name = OUTCOME_NAMES[type(outcome)]
+        self._tallies[CALL_SECONDS].observe(seconds, _class_label(call_class), name)
 
     def note_caller(self, caller: CallerId, seconds: float) -> None:
         """Count a request of a caller."""
-        self._caller_seconds.observe(seconds, self._caller_label(caller))
+        self._tallies[CALLER_SECONDS].observe(seconds, self._caller_label(caller))
 
     def note_refusal(self, call_class: CallClass | None, reason: Reason) -> None:
         """Count a call that was not run."""
-        self._counters[REFUSED].add(_class_label(call_class), reason.value)
+        self._tallies[REFUSED].add(_class_label(call_class), reason.value)
 
     def note_unknown(self, reason: Reason) -> None:
         """Count a call of unknown outcome."""
-        self._counters[UNKNOWN_OUTCOMES].add(reason.value)
+        self._tallies[UNKNOWN_OUTCOMES].add(reason.value)
 
     def note_attempt(self, call_class: CallClass, retry: bool) -> None:
         """Count an attempt, first or repeated."""
-        self._attempts.add(call_class.value, "retry" if retry else "first")
+        self._tallies[ATTEMPTS].add(call_class.value, "retry" if retry else "first")
 
     def note_queue(self, call_class: CallClass, seconds: float) -> None:
         """Count a wait for a slot."""
-        self._queue_seconds.observe(seconds, call_class.value)
+        self._tallies[QUEUE_SECONDS].observe(seconds, call_class.value)
 
     def note_target(self, call_class: CallClass, seconds: float) -> None:
         """Count a call that the target has run."""
-        self._target_seconds.observe(seconds, call_class.value)
+        self._tallies[TARGET_SECONDS].observe(seconds, call_class.value)
 
     def note_bad_input(self, source: str) -> None:
         """Count input that broke a protocol.
 
         :param source: which listener or peer it came from, one of few fixed names.
         """
-        self._counters[BAD_INPUT].add(source)
+        self._tallies[BAD_INPUT].add(source)
 
     def note_state(self, state: str) -> None:
         """Count a change of the node's state."""
-        self._counters[STATE_CHANGES].add(state)
+        self._tallies[STATE_CHANGES].add(state)
 
     def _caller_label(self, caller: CallerId) -> str:
         if caller in self._callers:
--- a/src/pollenbay/outcome.py
+++ b/src/pollenbay/outcome.py
@@ -50,3 +50,12 @@
 
 
 Outcome = Answered | NotRun | Unknown
+
+#: What each is called in metrics and log lines.
+OUTCOME_NAMES = {Answered: "answered", NotRun: "not-run", Unknown: "unknown"}
+STATUS_SERVER_ERROR = 500
+
+
+def is_sound(outcome: Outcome) -> bool:
+    """Tell whether the target answered and does not report a failure of its own."""
+    return isinstance(outcome, Answered) and outcome.status < STATUS_SERVER_ERROR
--- a/src/pollenbay/platform/checkins.py
+++ b/src/pollenbay/platform/checkins.py
@@ -7,7 +7,7 @@
 from msgspec.json import decode
 
 from pollenbay.announcement import Announcement
-from pollenbay.callers import serve_requests
+from pollenbay.callers import Connection, serve_requests
 from pollenbay.commands.announcing import hear_target
 from pollenbay.http1 import HttpRequest, HttpResponse
 from pollenbay.ids import ServiceName, TargetId
@@ -120,7 +120,7 @@
 async def serve_check_ins(check_ins: CheckIns, node: Node, sock: Socket) -> None:
     """Serve one connection of the instance until it closes."""
 
-    async def respond(node: Node, sock: Socket, request: HttpRequest) -> HttpResponse:
+    async def respond(node: Node, _: Connection, request: HttpRequest) -> HttpResponse:
         return answer_check_in(check_ins, node, request)
 
     await serve_requests(node, sock, SOURCE, respond)
@@ -166,7 +166,7 @@
     await serve_requests(node, sock, SOURCE, _answer_readiness)
 
 
-async def _answer_readiness(node: Node, sock: Socket, request: HttpRequest) -> HttpResponse:
+async def _answer_readiness(node: Node, _: Connection, request: HttpRequest) -> HttpResponse:
     if request.target != READY_PATH:
         return HttpResponse(STATUS_NOT_FOUND, [])
     ready = node.state is NodeState.SERVING
--- a/src/pollenbay/platform/requests.py
+++ b/src/pollenbay/platform/requests.py
@@ -18,7 +18,7 @@
     REQUEST_HEADER,
 )
 from pollenbay.states import Reason
-from pollenbay.watch import Watched, outcome_or_end
+from pollenbay.watch import Watched
 
 SOURCE = "requests"
 MS_PER_S = 1000.0
@@ -54,8 +54,8 @@
         node.metrics.note_bad_input(SOURCE)
         return HttpResponse(STATUS_BAD_REQUEST, [])
     passage = Passage()
-    with node.watch.over(Watched(connection.sock, connection.task, passage)):
-        outcome = await outcome_or_end(passage, enter_by_route(node, asked, passage))
+    watched = Watched(connection.sock, connection.task, passage)
+    outcome = await node.watch.outcome_or_end(watched, enter_by_route(node, asked, passage))
     response = response_of(outcome)
     response.headers.append((REQUEST_HEADER, asked.request.encode("latin-1")))
     return response
--- a/src/pollenbay/platform/store.py
+++ b/src/pollenbay/platform/store.py
@@ -1,29 +1,28 @@
 """The platform's metadata store: its requests, its rows, and the feed of the configuration."""
 
+from functools import partial
 from logging import getLogger
 from urllib.parse import quote
 
-from curio import TaskTimeout, timeout_after
-from msgspec import DecodeError, Struct, ValidationError
-from msgspec.json import decode, encode
-from result import Err, Ok, Result
+from msgspec import Struct
+from msgspec.json import encode
+from result import Err, Result
 
 from pollenbay.commands.pulling import JITTER, adopt_rules
-from pollenbay.http1 import HttpError, HttpRequest, HttpResponse
+from pollenbay.http1 import HttpRequest, HttpResponse
 from pollenbay.ids import RowKey, RowVersion
 from pollenbay.membership import Membership
 from pollenbay.platform.names import CONFIG_KEY, OPERATOR_TABLE
 from pollenbay.platform.rules import read_rules
 from pollenbay.platform.settings import Endpoint
 from pollenbay.table import (
-    STATUS_OK,
     Check,
     Row,
     Table,
     TableError,
-    TableUnavailableError,
     Write,
     make_table,
+    read_body,
 )
 
 STATUS_CHECK_FAILED = 412
@@ -110,7 +109,7 @@
 
     def rows_of(self, response: HttpResponse) -> Result[list[Row], TableError]:
         """Return the rows in a response to a read."""
-        found = _read_rows(response)
+        found = read_body(response, _StoreRows)
         return found.map(lambda rows: [_row(row) for row in rows.rows])
 
     def is_conflict(self, response: HttpResponse) -> bool:
@@ -157,12 +156,8 @@
     else:
         target = f"/rows-feed?table={OPERATOR_TABLE}&after={after}&wait_ms={wait_s * 1000:.0f}"
         limit_s = wait_s + FEED_SLACK_S
-    request = HttpRequest(b"GET", target.encode("ascii"), [])
-    try:
-        response = await timeout_after(limit_s, table.exchange, request)
-    except (HttpError, TaskTimeout) as error:
-        return Err(TableUnavailableError(f"{type(error).__name__}: {error}"))
-    return _read_rows(response)
+    response = await table.fetch(target, limit_s)
+    return response.and_then(partial(read_body, body_type=_StoreRows))
 
 
 async def _adopt_newest(membership: Membership, rows: list[_StoreRow]) -> None:
@@ -176,15 +171,6 @@
         await adopt_rules(membership, rules.ok_value)
 
 
-def _read_rows(response: HttpResponse) -> Result[_StoreRows, TableError]:
-    if response.status != STATUS_OK:
-        return Err(TableUnavailableError(f"status {response.status}"))
-    try:
-        return Ok(decode(response.body, type=_StoreRows))
-    except (DecodeError, ValidationError) as error:
-        return Err(TableUnavailableError(str(error)))
-
-
 def _split(key: str) -> tuple[str, str]:
     table, _, rest = key.partition("/")
     return table, rest
--- a/src/pollenbay/queries/admission.py
+++ b/src/pollenbay/queries/admission.py
@@ -17,6 +17,11 @@
     )
 
 
+def taken_part(gate: Gate) -> float:
+    """Return the calls that run or wait, as a part of those that may run."""
+    return (gate.in_flight + len(gate.line)) / gate.limit.value
+
+
 def has_slot(gate: Gate) -> bool:
     """Tell whether another call may run now."""
     return gate.in_flight < gate.limit.value
--- a/src/pollenbay/queries/telling.py
+++ b/src/pollenbay/queries/telling.py
@@ -3,6 +3,7 @@
 from pollenbay.ids import CallName, ServiceName
 from pollenbay.message import Told
 from pollenbay.node import Node
+from pollenbay.queries.admission import taken_part
 from pollenbay.queries.saturation import levels_to_tell
 
 #: Services that the target called are remembered for so long.
@@ -11,12 +12,11 @@
 
 def news_to_tell(node: Node, route: CallName, now: float) -> Told:
     """Return what to tell a node that has called by a route."""
-    gate = node.gate
     return Told(
         is_entry=node.origins.is_entry(route, len(node.rulebook.services), now),
         share=round(node.origins.share(route), 3),
-        taken=round((gate.in_flight + len(gate.line)) / gate.limit.value, 2),
-        limit=gate.limit.value,
+        taken=round(taken_part(node.gate), 2),
+        limit=node.gate.limit.value,
         levels=own_levels(node, now),
     )
 
--- a/src/pollenbay/table.py
+++ b/src/pollenbay/table.py
@@ -4,7 +4,7 @@
 and ``GET /table/rows`` read.
 """
 
-from typing import Protocol
+from typing import Protocol, TypeVar
 from urllib.parse import quote
 
 from curio import TaskTimeout, timeout_after
@@ -19,6 +19,7 @@
 TABLE_TIMEOUT_S = 2.0
 SCAN_LIMIT_ROWS = 1000
 KEPT_CONNECTIONS = 8
+T = TypeVar("T")
 STATUS_OK = 200
 STATUS_CONFLICT = 409
 
@@ -117,12 +118,7 @@
 
     def rows_of(self, response: HttpResponse) -> Result[list[Row], TableError]:
         """Return the rows in a response to a read."""
-        if response.status != STATUS_OK:
-            return Err(TableUnavailableError(f"status {response.status}"))
-        try:
-            return Ok(decode(response.body, type=Rows).rows)
-        except (DecodeError, ValidationError) as error:
-            return Err(TableUnavailableError(str(error)))
+        return read_body(response, Rows).map(lambda found: found.rows)
 
     def is_conflict(self, response: HttpResponse) -> bool:
         """Tell whether a response to a write says that a check failed."""
@@ -162,7 +158,7 @@
         """Apply all writes if all checks hold."""
         request = self._encoding.write(checks, writes)
         try:
-            response = await timeout_after(self._timeout_s, self.exchange, request)
+            response = await timeout_after(self._timeout_s, self._exchange, request)
         except HttpConnectError as error:
             return Err(TableUnavailableError(str(error)))
         except (HttpError, TaskTimeout) as error:
@@ -178,19 +174,22 @@
         while self._idle:
             await self._idle.pop().close()
 
-    async def _read(self, target: str) -> Result[list[Row], TableError]:
+    async def fetch(self, target: str, limit_s: float) -> Result[HttpResponse, TableError]:
+        """Return the whole response to a read, whatever its status.
+
+        :param limit_s: seconds after which it counts as lost.
+        """
         request = HttpRequest(b"GET", target.encode("ascii"), [])
         try:
-            response = await timeout_after(self._timeout_s, self.exchange, request)
+            return Ok(await timeout_after(limit_s, self._exchange, request))
         except (HttpError, TaskTimeout) as error:
             return Err(TableUnavailableError(f"{type(error).__name__}: {error}"))
-        return self._encoding.rows_of(response)
 
-    async def exchange(self, request: HttpRequest) -> HttpResponse:
-        """Send a request without host header and return the whole response, however late.
+    async def _read(self, target: str) -> Result[list[Row], TableError]:
+        response = await self.fetch(target, self._timeout_s)
+        return response.and_then(self._encoding.rows_of)
 
-        :raises HttpError: if there is none.
-        """
+    async def _exchange(self, request: HttpRequest) -> HttpResponse:
         request.headers.insert(0, (b"host", f"{self._address}:{self._port}".encode("ascii")))
         client = await self._connection()
         try:
@@ -216,6 +215,19 @@
             await client.close()
 
 
+def read_body(response: HttpResponse, body_type: type[T]) -> Result[T, TableError]:
+    """Return the decoded body of a response to a read.
+
+    :param body_type: what the JSON stands for.
+    """
+    if response.status != STATUS_OK:
+        return Err(TableUnavailableError(f"status {response.status}"))
+    try:
+        return Ok(decode(response.body, type=body_type))
+    except (DecodeError, ValidationError) as error:
+        return Err(TableUnavailableError(str(error)))
+
+
 def _is_in(row: Row, prefix: str, after: str) -> bool:
     return row.key.startswith(prefix) and row.key > after
 
--- a/src/pollenbay/watch.py
+++ b/src/pollenbay/watch.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Awaitable
 from select import poll
+from typing import Generic, TypeVar
 
 from curio import Task, TaskCancelled
 from curio.io import Socket
@@ -26,6 +27,10 @@
 OVERDUE_S = 0.2
 
 
+K = TypeVar("K")
+V = TypeVar("V")
+
+
 class EndedEarly(TaskCancelled):
     """The node ends without waiting for the calls in progress."""
 
@@ -43,38 +48,24 @@
     call_id: CallId | None = None
 
 
-class Watching:
-    """Context in which a call is watched."""
-
-    __slots__ = ("_all", "_descriptor", "_watched")
-
-    def __init__(self, all_watched: dict[int, Watched], watched: Watched) -> None:
-        self._all = all_watched
-        self._watched = watched
-        self._descriptor = watched.sock.fileno()
+class Entry(Generic[K, V]):
+    """Context for whose length a dictionary has an entry.
 
-    def __enter__(self) -> None:
-        self._all[self._descriptor] = self._watched
-
-    def __exit__(self, *_: object) -> None:
-        del self._all[self._descriptor]
-
-
-class IdleConnection:
-    """Context in which a connection waits for its next request."""
+    The standard library's contexts made from generators cost more, on the path of every call.
+    """
 
-    __slots__ = ("_all", "_ends_at", "_task")
+    __slots__ = ("_all", "_key", "_value")
 
-    def __init__(self, all_idle: dict[Task, float], task: Task, ends_at: float) -> None:
-        self._all = all_idle
-        self._task = task
-        self._ends_at = ends_at
+    def __init__(self, entries: dict[K, V], key: K, value: V) -> None:
+        self._all = entries
+        self._key = key
+        self._value = value
 
     def __enter__(self) -> None:
-        self._all[self._task] = self._ends_at
+        self._all[self._key] = self._value
 
     def __exit__(self, *_: object) -> None:
-        del self._all[self._task]
+        del self._all[self._key]
 
 
 class Watch:
@@ -95,17 +86,28 @@
         """Return how many calls were ended because their caller had left."""
         return self._left
 
-    def over(self, watched: Watched) -> Watching:
+    def over(self, watched: Watched) -> Entry[int, Watched]:
         """Watch a call for the length of the block."""
-        return Watching(self._watched, watched)
-
-    def idle(self, task: Task, ends_at: float) -> IdleConnection:
+        return Entry(self._watched, watched.sock.fileno(), watched)
+
+    async def outcome_or_end(self, watched: Watched, work: Awaitable[Outcome]) -> Outcome:
+        """Watch a call and return its outcome, also if the node ends early meanwhile."""
+        passage = watched.passage
+        try:
+            with self.over(watched):
+                return await work
+        except EndedEarly:
+            if passage.sent or not passage.cancellable:
+                return Unknown(Reason.CANCELLED)
+            return NotRun(Reason.DRAINING)
+
+    def idle(self, task: Task, ends_at: float) -> Entry[Task, float]:
         """Let a connection wait for a request for the length of the block.
 
         :param task: serves the connection and is cancelled if the wait takes too long.
         :param ends_at: monotonic seconds at which the wait is too long.
         """
-        return IdleConnection(self._idle, task, ends_at)
+        return Entry(self._idle, task, ends_at)
 
     async def end_all(self) -> None:
         """End all calls in progress; whoever awaits them is told by `outcome_or_end`."""
@@ -154,16 +156,6 @@
                 watched.link.send_progress(watched.call_id)
 
 
-async def outcome_or_end(passage: Passage, work: Awaitable[Outcome]) -> Outcome:
-    """Return the outcome of a call, also if the node ends early meanwhile."""
-    try:
-        return await work
-    except EndedEarly:
-        if passage.sent or not passage.cancellable:
-            return Unknown(Reason.CANCELLED)
-        return NotRun(Reason.DRAINING)
-
-
 def make_watch() -> Watch:
     """Return a watch over nothing yet."""
     return Watch()
