Bound all input from outside, and take only provable responses

Cause: msgspec raises RecursionError, no MsgspecError, for deep nesting; ports, counters and times were unbounded; an odd row of another writer (nested, port out of range, NUL in the address) kept a node from ever getting ready, a nested configuration ended it. A client's deadline of "nan" reached the event loop's timers. Interim responses without end were read for ever, chunk extensions without end escaped the limit of the body, one-byte chunks took a hundred times their size in memory. A response without a request id counted as the answer, so a refusal written once more could be reported as "not run" for a request that ran. Change: one module decodes (codec), with ranges stated by the types (ranges) and one error for each layer; rows are decoded one by one, a bad one is logged once with its key and counted (pollenbay_table_bad_rows). Heads, framing, interim responses and bodies have bounds in bytes. An instance's response has to bear the id of its request, else it promises nothing (502); a connection on which a target refused is closed, so that no later request can meet the refusal again. test_malformed_response_is_rejected expected one bad row to spoil a whole read; the row now costs only itself, and a test as strict checks that the others are returned and the bad one is counted.

--- a/src/pollenbay/adminclient.py
+++ b/src/pollenbay/adminclient.py
@@ -6,11 +6,12 @@
 from urllib.parse import urlsplit
 
 from curio import TaskTimeout, timeout_after
-from msgspec import DecodeError, Struct, ValidationError
-from msgspec.json import decode, encode
+from msgspec import Struct
+from msgspec.json import encode
 from result import Err, Ok, Result
 
 from pollenbay.adminresponse import ErrorBody
+from pollenbay.codec import CodecError, decode_json
 from pollenbay.http1 import HttpConnectError, HttpError, HttpRequest, HttpResponse
 from pollenbay.httpclient import connect_http
 
@@ -143,15 +144,15 @@
     if response.status == STATUS_UNAUTHORIZED:
         return Err(AdminTokenError("the node does not accept the token"))
     try:
-        return Ok(decode(response.body, type=response_type))
-    except (DecodeError, ValidationError) as error:
+        return Ok(decode_json(response.body, response_type))
+    except CodecError as error:
         return Err(_make_error(response, str(error)))
 
 
 def _make_error(response: HttpResponse, decode_error: str) -> AdminClientError:
     try:
-        problem = decode(response.body, type=ErrorBody)
-    except (DecodeError, ValidationError):
+        problem = decode_json(response.body, ErrorBody)
+    except CodecError:
         return AdminResponseLostError(
             f"status {response.status}, and the answer is not known: {decode_error}"
         )
--- a/src/pollenbay/adminendpoint.py
+++ b/src/pollenbay/adminendpoint.py
@@ -6,10 +6,10 @@
 from typing import TypeVar
 from urllib.parse import parse_qs
 
-from msgspec import DecodeError, Struct, ValidationError
-from msgspec.json import decode
+from msgspec import Struct
 from result import Err, Ok, Result
 
+from pollenbay.codec import CodecError, decode_json
 from pollenbay.commands.lifecycle import Drain
 from pollenbay.commands.publication import Publish
 from pollenbay.commands.settlement import Settle
@@ -134,8 +134,8 @@
 
 def _decode_body(body: bytes, body_type: type[_Body]) -> _Body:
     try:
-        return decode(body, type=body_type)
-    except (DecodeError, ValidationError, RecursionError) as error:
+        return decode_json(body, body_type)
+    except CodecError as error:
         raise BadRequestError(f"the body is not what is expected: {error}") from error
 
 
--- a/src/pollenbay/announcement.py
+++ b/src/pollenbay/announcement.py
@@ -6,6 +6,7 @@
 from msgspec import Struct
 
 from pollenbay.ids import ServiceName, TargetId
+from pollenbay.ranges import Count, IpAddress, Port, Ratio, Slots
 from pollenbay.states import TargetState
 
 ANNOUNCE_PATH = "/pollenbay/announce"
@@ -23,10 +24,10 @@
     """
 
     service: ServiceName
-    address: str
-    port: int
-    slots: int
+    address: IpAddress
+    port: Port
+    slots: Slots
     state: TargetState
-    in_flight: int = 0
-    reported_load: float = 0.0
+    in_flight: Count = 0
+    reported_load: Ratio = 0.0
     target: TargetId = TargetId("")
--- a/src/pollenbay/callerfrontend.py
+++ b/src/pollenbay/callerfrontend.py
@@ -6,11 +6,10 @@
 
 from curio import Task, current_task, sleep
 from curio.io import Socket
-from msgspec import MsgspecError
-from msgspec.json import decode
 
 from pollenbay.announcement import ANNOUNCE_PATH, Announcement
 from pollenbay.call import CallProgress, CallRequest
+from pollenbay.codec import CodecError, decode_json
 from pollenbay.commands.announcing import apply_announcement
 from pollenbay.commands.entry import enter_from_caller, enter_from_target
 from pollenbay.http1 import HttpRequest, HttpRequestError, HttpResponse
@@ -155,8 +154,8 @@
 
 def _apply_announcement(node: Node, request: HttpRequest) -> HttpResponse:
     try:
-        announcement = decode(request.body, type=Announcement)
-    except MsgspecError:
+        announcement = decode_json(request.body, Announcement)
+    except CodecError:
         node.metrics.record_bad_input(BadInputSource.OUTBOUND.value)
         return response_to_bad_request(STATUS_BAD_REQUEST)
     apply_announcement(node, announcement, node.timer.now())
--- a/src/pollenbay/claim.py
+++ b/src/pollenbay/claim.py
@@ -5,27 +5,30 @@
 from secrets import token_hex
 from typing import NewType
 
-from msgspec import DecodeError, Struct, ValidationError
-from msgspec.msgpack import decode, encode
+from msgspec import Struct
+from msgspec.msgpack import encode
 from result import Err, Ok, Result
 
+from pollenbay.codec import CodecError, make_message_decoder
 from pollenbay.ids import (
     CallerId,
     CallName,
     Digest,
     IdempotencyKey,
-    Incarnation,
     InstanceId,
     RowKey,
     RowVersion,
     ServiceName,
 )
 from pollenbay.outcome import Answered, Headers
+from pollenbay.ranges import EpochSeconds, HttpStatus, KnownIncarnation
 from pollenbay.states import ClaimState
 
 CLAIM_PREFIX = "claim/"
 NONCE_BYTES = 16
 STORED_RESPONSE_BYTES_MAX = 32 * 1024
+#: Maximum size of a claim row; its headers are not bounded by `STORED_RESPONSE_BYTES_MAX` alone.
+CLAIM_ROW_BYTES_MAX = 1024 * 1024
 LENGTH_BYTES = 8
 
 #: One attempt to claim a key, by which the holder recognises its own write.
@@ -78,7 +81,7 @@
     """
 
     nonce: ClaimNonce
-    written_epoch_s: float
+    written_epoch_s: EpochSeconds
 
 
 class ClaimedRow(ClaimRow, tag=ClaimState.CLAIMED.value):
@@ -86,8 +89,8 @@
 
     fingerprint: Digest
     instance: InstanceId
-    incarnation: Incarnation
-    deadline_epoch_s: float
+    incarnation: KnownIncarnation
+    deadline_epoch_s: EpochSeconds
 
 
 class AnsweredRow(ClaimRow, tag=ClaimState.ANSWERED.value):
@@ -97,7 +100,7 @@
     """
 
     fingerprint: Digest
-    status: int
+    status: HttpStatus
     headers: Headers
     body: bytes
     whole: bool = True
@@ -109,6 +112,8 @@
 
 AnyClaimRow = ClaimedRow | AnsweredRow | ReleasedRow
 
+_decoder = make_message_decoder(AnyClaimRow, CLAIM_ROW_BYTES_MAX)
+
 
 def make_nonce() -> ClaimNonce:
     """Return a new random nonce."""
@@ -139,8 +144,8 @@
 def decode_row(value: bytes) -> Result[AnyClaimRow, ClaimRowError]:
     """Return the row decoded from a stored value."""
     try:
-        return Ok(decode(value, type=AnyClaimRow))
-    except (DecodeError, ValidationError) as error:
+        return Ok(_decoder.decode(value))
+    except CodecError as error:
         return Err(ClaimRowError(str(error)))
 
 
--- a/src/pollenbay/commands/joining.py
+++ b/src/pollenbay/commands/joining.py
@@ -10,7 +10,7 @@
 from pollenbay.gossipmessage import PAGE_RECORDS_MAX, Heartbeat, PageRequest, PageResponse
 from pollenbay.ids import InstanceId
 from pollenbay.membership import JoinProblem, Membership
-from pollenbay.peer import PeerError, PeerLink, make_peer_link
+from pollenbay.peer import PeerAddressError, PeerError, PeerLink, make_peer_link
 from pollenbay.queries.membership import record_of
 from pollenbay.rendezvous import (
     NodeRow,
@@ -141,7 +141,11 @@
     """Introduce this node to a seed and fetch its view; return whether it responded."""
     if seed == Seed(membership.settings.address, membership.gossip_port):
         return False
-    link = make_peer_link(seed.address, seed.gossip_port, membership.traffic)
+    try:
+        link = make_peer_link(seed.address, seed.gossip_port, membership.traffic)
+    except PeerAddressError as error:
+        LOG.warning("seed passed over", extra={"error": str(error)})
+        return False
     try:
         return await _introduce(membership, link)
     except PeerError:
--- a/src/pollenbay/gossipmessage.py
+++ b/src/pollenbay/gossipmessage.py
@@ -2,20 +2,27 @@
 
 from enum import Enum
 
-from msgspec import DecodeError, Struct, ValidationError, field
-from msgspec.msgpack import Decoder, Encoder
+from msgspec import Struct, field
+from msgspec.msgpack import Encoder
 
+from pollenbay.codec import CodecError, MessageDecoder, make_message_decoder
 from pollenbay.ids import (
     Digest,
     HostId,
-    Incarnation,
     InstanceId,
     OperatorId,
     RegionId,
-    RuleVersion,
     ServiceName,
     ZoneId,
 )
+from pollenbay.ranges import (
+    Count,
+    EpochSeconds,
+    IpAddress,
+    KnownIncarnation,
+    KnownRuleVersion,
+    Port,
+)
 from pollenbay.rule import Route, ServiceRule
 from pollenbay.states import MemberState
 
@@ -46,16 +53,16 @@
     """
 
     instance: InstanceId
-    incarnation: Incarnation
-    sequence: int
+    incarnation: KnownIncarnation
+    sequence: Count
     state: MemberState
     service: ServiceName
     host: HostId
     zone: ZoneId
     region: RegionId
-    address: str
-    link_port: int
-    gossip_port: int
+    address: IpAddress
+    link_port: Port
+    gossip_port: Port
 
 
 class Report(Struct, frozen=True, array_like=True):
@@ -67,14 +74,14 @@
     """
 
     instance: InstanceId
-    incarnation: Incarnation
-    report_sequence: int
-    rule_version: RuleVersion
-    rule_since: float
-    in_flight: int
-    limit: int
-    queued: int
-    admitted_rank: int
+    incarnation: KnownIncarnation
+    report_sequence: Count
+    rule_version: KnownRuleVersion
+    rule_since: EpochSeconds
+    in_flight: Count
+    limit: Count
+    queued: Count
+    admitted_rank: Count
 
 
 class Heartbeat(Struct, frozen=True, array_like=True, tag="beat"):
@@ -105,7 +112,7 @@
         are sent.
     """
 
-    newer_than: RuleVersion
+    newer_than: KnownRuleVersion
     known_hashes: dict[ServiceName, int]
 
 
@@ -119,10 +126,10 @@
     :param routes: all routes of the rule set.
     """
 
-    version: RuleVersion
+    version: KnownRuleVersion
     digest: Digest
     author: OperatorId
-    published_at: float
+    published_at: EpochSeconds
     service_order: tuple[ServiceName, ...]
     changed_services: tuple[ServiceRule, ...]
     routes: tuple[Route, ...] = ()
@@ -188,8 +195,12 @@
 )
 
 _encoder = Encoder()
-_request_decoder: Decoder[PeerRequest] = Decoder(PeerRequest)
-_response_decoder: Decoder[PeerResponse] = Decoder(PeerResponse)
+_request_decoder: MessageDecoder[PeerRequest] = make_message_decoder(
+    PeerRequest, MESSAGE_LIMIT_BYTES
+)
+_response_decoder: MessageDecoder[PeerResponse] = make_message_decoder(
+    PeerResponse, MESSAGE_LIMIT_BYTES
+)
 
 
 def encode_message(message: PeerRequest | PeerResponse) -> bytes:
@@ -204,7 +215,7 @@
     """
     try:
         return _request_decoder.decode(data)
-    except (DecodeError, ValidationError) as error:
+    except CodecError as error:
         raise GossipDecodeError(str(error)) from error
 
 
@@ -215,5 +226,5 @@
     """
     try:
         return _response_decoder.decode(data)
-    except (DecodeError, ValidationError) as error:
+    except CodecError as error:
         raise GossipDecodeError(str(error)) from error
--- a/src/pollenbay/http1.py
+++ b/src/pollenbay/http1.py
@@ -11,6 +11,10 @@
 RECEIVE_BYTES = 65536
 HEADER_LIMIT_BYTES = 16384
 BODY_LIMIT_BYTES = 8 * 1024 * 1024
+#: Bytes of a message that are not of its body (its head, sizes and extensions of chunks, trailers)
+#: beyond `FRAMING_BYTES_PER_BODY_BYTE` for each byte of the body.
+FRAMING_LIMIT_BYTES = 256 * 1024
+FRAMING_BYTES_PER_BODY_BYTE = 8
 #: Headers that concern a single connection and are never forwarded by a node.
 HOP_HEADERS = frozenset(
     {
@@ -61,6 +65,7 @@
 
     CUT_SHORT = "the body stops short"
     TOO_LONG = "the body is too long"
+    TOO_MUCH_FRAMING = "the body comes in too many or too long chunks"
 
 
 class HttpBodyError(HttpError):
@@ -122,21 +127,25 @@
 
 
 async def collect_body(
-    next_event: Callable[[], Awaitable[h11.Event | type[h11.PAUSED]]], limit_bytes: int
+    next_event: Callable[[], Awaitable[h11.Event | type[h11.PAUSED]]],
+    received_bytes: Callable[[], int],
+    limit_bytes: int,
 ) -> bytes:
     """Return a complete body from the events of a connection.
 
-    :raises HttpBodyError: if it is truncated or exceeds the limit.
+    :param received_bytes: returns the number of bytes received since the message began.
+    :raises HttpBodyError: if it is truncated, exceeds the limit or is mostly framing.
     """
-    parts: list[bytes] = []
-    size = 0
+    body = bytearray()
     while True:
         event = await next_event()
         if isinstance(event, h11.EndOfMessage):
-            return b"".join(parts)
+            return bytes(body)
         if not isinstance(event, h11.Data):
             raise HttpBodyError(BodyProblem.CUT_SHORT)
-        size += len(event.data)
-        if size > limit_bytes:
+        if len(body) + len(event.data) > limit_bytes:
             raise HttpBodyError(BodyProblem.TOO_LONG)
-        parts.append(bytes(event.data))
+        body += event.data
+        framing_limit = FRAMING_LIMIT_BYTES + FRAMING_BYTES_PER_BODY_BYTE * len(body)
+        if received_bytes() - len(body) > framing_limit:
+            raise HttpBodyError(BodyProblem.TOO_MUCH_FRAMING)
--- a/src/pollenbay/httpclient.py
+++ b/src/pollenbay/httpclient.py
@@ -25,6 +25,8 @@
 
 #: Unsolicited responses (to earlier requests) after which the connection is given up.
 UNSOLICITED_RESPONSES_MAX = 2
+#: Interim responses before the final one after which the connection is given up.
+INTERIM_RESPONSES_MAX = 16
 #: A longer request is sent while the response is read, since it may fill the buffers between client
 #: and server. The smallest buffers in use hold a few pages.
 SEQUENTIAL_SEND_BYTES_MAX = 4096
@@ -53,6 +55,7 @@
         self._body_limit_bytes = body_limit_bytes
         self._unframed = unframed
         self._must_close = False
+        self._received_bytes = 0
         self._conn = _make_connection()
 
     @property
@@ -90,7 +93,10 @@
         :raises HttpExchangeError: if the connection broke.
         :raises HttpAnswerError: if the response is truncated or malformed.
         """
-        data = self._encode(request)
+        try:
+            data = self._encode(request)
+        except h11.LocalProtocolError as error:
+            raise HttpExchangeError(f"the request cannot be sent: {error}") from error
         try:
             if len(data) > SEQUENTIAL_SEND_BYTES_MAX:
                 response = await self._send_while_reading(data, request, matches)
@@ -156,11 +162,10 @@
             self._conn.receive_data(b"")
 
     async def _read_response(self, method: bytes) -> HttpResponse:
-        if not self._conn.trailing_data[0]:
+        self._received_bytes = len(self._conn.trailing_data[0])
+        if not self._received_bytes:
             await self._receive()
-        head = await self._next_event()
-        while isinstance(head, h11.InformationalResponse):
-            head = await self._next_event()
+        head = await self._read_final_head()
         if not isinstance(head, h11.Response):
             raise HttpExchangeError("connection closed before a response")
         headers = headers_of(head)
@@ -173,9 +178,18 @@
         body = await self._read_body()
         return HttpResponse(head.status_code, headers, body)
 
+    async def _read_final_head(self) -> h11.Event | type[h11.PAUSED]:
+        for _ in range(INTERIM_RESPONSES_MAX):
+            head = await self._next_event()
+            if not isinstance(head, h11.InformationalResponse):
+                return head
+        raise HttpAnswerError("received only interim responses")
+
     async def _read_body(self) -> bytes:
         try:
-            return await collect_body(self._next_event, self._body_limit_bytes)
+            return await collect_body(
+                self._next_event, lambda: self._received_bytes, self._body_limit_bytes
+            )
         except HttpBodyError as error:
             raise HttpAnswerError(str(error)) from error
 
@@ -190,7 +204,9 @@
             await self._receive()
 
     async def _receive(self) -> None:
-        self._conn.receive_data(await receive(self._sock, RECEIVE_BYTES))
+        data = await receive(self._sock, RECEIVE_BYTES)
+        self._received_bytes += len(data)
+        self._conn.receive_data(data)
 
     def _finish_cycle(self) -> None:
         if self._conn.our_state is h11.DONE and self._conn.their_state is h11.DONE:
--- a/src/pollenbay/httpserver.py
+++ b/src/pollenbay/httpserver.py
@@ -1,5 +1,7 @@
 """HTTP/1.1 server connection that reads complete requests and writes complete responses."""
 
+from logging import getLogger
+
 import h11
 from curio.io import Socket
 
@@ -20,7 +22,14 @@
 from pollenbay.outcome import Headers
 from pollenbay.stream import receive
 
-PROBLEM_STATUSES = {BodyProblem.CUT_SHORT: 400, BodyProblem.TOO_LONG: 413}
+PROBLEM_STATUSES = {
+    BodyProblem.CUT_SHORT: 400,
+    BodyProblem.TOO_LONG: 413,
+    BodyProblem.TOO_MUCH_FRAMING: 413,
+}
+STATUS_BAD_GATEWAY = 502
+
+LOG = getLogger("pollenbay.http")
 
 
 class HttpServer:
@@ -35,6 +44,7 @@
         self._body_limit_bytes = body_limit_bytes
         self._conn = h11.Connection(h11.SERVER, max_incomplete_event_size=HEADER_LIMIT_BYTES)
         self._is_head_request = False
+        self._received_bytes = 0
 
     @property
     def sock(self) -> Socket:
@@ -48,7 +58,8 @@
         """
         if self._conn.our_state is h11.DONE and self._conn.their_state is h11.DONE:
             self._conn.start_next_cycle()
-        if not self._conn.trailing_data[0]:
+        self._received_bytes = len(self._conn.trailing_data[0])
+        if not self._received_bytes:
             await self._receive()
         head = await self._next_event()
         if not isinstance(head, h11.Request):
@@ -82,7 +93,12 @@
         headers = response.headers
         if response.status not in STATUSES_WITHOUT_BODY:
             headers = [*headers, (b"content-length", b"%d" % len(body))]
-        parts = [self._conn.send(h11.Response(status_code=response.status, headers=headers))]
+        try:
+            head = h11.Response(status_code=response.status, headers=headers)
+        except h11.LocalProtocolError as error:
+            LOG.warning("response cannot be sent", extra={"error": str(error)})
+            return self._encode(HttpResponse(STATUS_BAD_GATEWAY, []))
+        parts = [self._conn.send(head)]
         if body and not self._is_head_request:
             parts.append(self._conn.send(h11.Data(data=body)))
         parts.append(self._conn.send(h11.EndOfMessage()))
@@ -90,7 +106,9 @@
 
     async def _read_body(self) -> bytes:
         try:
-            return await collect_body(self._next_event, self._body_limit_bytes)
+            return await collect_body(
+                self._next_event, lambda: self._received_bytes, self._body_limit_bytes
+            )
         except HttpBodyError as error:
             raise HttpRequestError(PROBLEM_STATUSES[error.problem], str(error)) from error
 
@@ -108,4 +126,6 @@
         if self._conn.they_are_waiting_for_100_continue:
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
             await self._sock.sendall(self._conn.send(continue_response))
-        self._conn.receive_data(await receive(self._sock, RECEIVE_BYTES))
+        data = await receive(self._sock, RECEIVE_BYTES)
+        self._received_bytes += len(data)
+        self._conn.receive_data(data)
--- a/src/pollenbay/link.py
+++ b/src/pollenbay/link.py
@@ -7,9 +7,9 @@
 from struct import Struct
 
 from curio.io import Socket
-from msgspec import MsgspecError
-from msgspec.msgpack import Decoder, Encoder
+from msgspec.msgpack import Encoder
 
+from pollenbay.codec import CodecError, make_message_decoder
 from pollenbay.ids import CallId
 from pollenbay.linkmessage import AnyLinkMessage, ProgressMessage
 from pollenbay.stream import StreamConnectError, open_stream, peer_has_closed, receive
@@ -28,7 +28,7 @@
 #: staleness, which would cost a system call.
 STALE_CHECK_AFTER_S = 0.1
 ENCODER = Encoder()
-DECODER = Decoder(AnyLinkMessage)
+DECODER = make_message_decoder(AnyLinkMessage, MESSAGE_LIMIT_BYTES)
 
 
 class LinkError(Exception):
@@ -188,7 +188,7 @@
 def _decode(data: bytes) -> AnyLinkMessage:
     try:
         return DECODER.decode(data)
-    except (MsgspecError, ValueError) as error:
+    except CodecError as error:
         raise LinkMessageError(str(error)) from error
 
 
--- a/src/pollenbay/linkmessage.py
+++ b/src/pollenbay/linkmessage.py
@@ -5,8 +5,9 @@
 from msgspec import Struct
 
 from pollenbay.call import Call
-from pollenbay.ids import CallerId, CallId, CallName, IdempotencyKey, RequestId, ServiceName
+from pollenbay.ids import CallerId, CallId, CallName, IdempotencyKey, ServiceName
 from pollenbay.outcome import Answered, Headers, NotRun, Outcome, Unknown
+from pollenbay.ranges import Count, HeaderRequestId, HttpStatus, Ratio, RequestText, Seconds, TimeMs
 from pollenbay.states import CallClass, Reason
 
 MS_PER_S = 1000.0
@@ -33,10 +34,10 @@
     """
 
     is_entry_route: bool | None
-    route_share: float
-    occupancy: float
-    limit: int
-    admission_levels: tuple[tuple[ServiceName, float], ...]
+    route_share: Ratio
+    occupancy: Ratio
+    limit: Count
+    admission_levels: tuple[tuple[ServiceName, Ratio], ...]
 
 
 class CallMessage(LinkMessage, tag=1):
@@ -46,19 +47,19 @@
     :param allowance: retry tokens delegated for the nested calls of the target.
     """
 
-    request: RequestId
+    request: HeaderRequestId
     service: ServiceName
     name: CallName
     call_class: CallClass
     caller: CallerId
-    method: str
-    path: str
+    method: RequestText
+    path: RequestText
     headers: Headers
     body: bytes
-    time_left_ms: float
-    allowance: int
+    time_left_ms: TimeMs
+    allowance: Count
     idempotency_key: IdempotencyKey | None
-    depth: int
+    depth: Count
     idempotent: bool
     origin_service: ServiceName
 
@@ -66,10 +67,10 @@
 class ResponseMessage(LinkMessage, tag=2):
     """The complete response of the target."""
 
-    status: int
+    status: HttpStatus
     headers: Headers
     body: bytes
-    allowance_left: int
+    allowance_left: Count
     feedback: TargetFeedback | None = None
 
 
@@ -77,8 +78,8 @@
     """The call was rejected before the target could receive it."""
 
     reason: Reason
-    retry_after_s: float
-    allowance_left: int
+    retry_after_s: Seconds
+    allowance_left: Count
     feedback: TargetFeedback | None = None
 
 
@@ -86,7 +87,7 @@
     """The call may have run."""
 
     reason: Reason
-    allowance_left: int
+    allowance_left: Count
     feedback: TargetFeedback | None = None
 
 
--- a/src/pollenbay/node.py
+++ b/src/pollenbay/node.py
@@ -132,6 +132,7 @@
         "pollenbay_claims": node.ledger.counts,
         "pollenbay_gossip": node.membership.gossip.counts,
         "pollenbay_traffic": node.membership.traffic,
+        "pollenbay_table": node.table.bad_rows,
     }
     for prefix, source in sources.items():
         node.metrics.add_counters(prefix, source, _integer_names(source))
--- a/src/pollenbay/peer.py
+++ b/src/pollenbay/peer.py
@@ -40,6 +40,10 @@
     """The port could not be opened."""
 
 
+class PeerAddressError(PeerError):
+    """The address of the peer is not one."""
+
+
 class PeerTimeoutError(PeerError):
     """No response arrived in time."""
 
@@ -165,7 +169,10 @@
 
 
 def make_peer_link(address: str, port: int, traffic: PeerTraffic) -> PeerLink:
-    """Return a link that connects in the background."""
+    """Return a link that connects in the background.
+
+    :raises PeerAddressError: if address and port are not those of any host.
+    """
     return PeerLink(address, port, traffic)
 
 
@@ -188,7 +195,11 @@
         reconnect_time_max=RECONNECT_MAX_MS,
         recv_max_size=MESSAGE_LIMIT_BYTES,
     )
-    sock.dial(url, block=False)
+    try:
+        sock.dial(url, block=False)
+    except (NNGException, ValueError) as error:
+        sock.close()
+        raise PeerAddressError(f"{url}: {error}") from error
     return sock
 
 
--- a/src/pollenbay/platform/checkins.py
+++ b/src/pollenbay/platform/checkins.py
@@ -3,17 +3,18 @@
 from logging import getLogger
 
 from curio.io import Socket
-from msgspec import DecodeError, Struct, ValidationError
-from msgspec.json import decode
+from msgspec import Struct
 
 from pollenbay.announcement import Announcement
 from pollenbay.callerfrontend import Connection, serve_requests
+from pollenbay.codec import CodecError, decode_json
 from pollenbay.commands.announcing import apply_announcement
 from pollenbay.http1 import HttpRequest, HttpResponse
 from pollenbay.ids import ServiceName, TargetId
 from pollenbay.node import Node
 from pollenbay.platform.names import INSTANCES_PATH, READY_PATH
 from pollenbay.platform.settings import Endpoint, read_endpoint
+from pollenbay.ranges import Count, Slots
 from pollenbay.states import NodeState, TargetState
 
 BAD_INPUT_SOURCE = "check-ins"
@@ -33,7 +34,7 @@
     """Properties that are constant for one run of an instance."""
 
     service: ServiceName
-    capacity: int
+    capacity: Slots
 
 
 class _Status(Struct, frozen=True):
@@ -43,7 +44,7 @@
     """
 
     state: str
-    seq: int
+    seq: Count
 
 
 class _CheckIn(Struct, frozen=True):
@@ -55,7 +56,7 @@
     address: str
     info: _Info
     status: _Status
-    born: int = 0
+    born: Count = 0
 
 
 class CheckInError(Exception):
@@ -106,14 +107,14 @@
 
     def _read(self, body: bytes) -> _CheckIn:
         try:
-            check_in = decode(body, type=_CheckIn)
+            check_in = decode_json(body, _CheckIn)
             endpoint = read_endpoint(check_in.address)
-        except (DecodeError, ValidationError, ValueError) as error:
+        except (CodecError, ValueError) as error:
             raise CheckInError(str(error)) from error
         if endpoint != self._endpoint:
             raise CheckInError(f"address {check_in.address} is not that of the local instance")
-        if check_in.status.state not in TARGET_STATES or check_in.info.capacity < 1:
-            raise CheckInError(f"invalid state {check_in.status.state!r} or capacity below 1")
+        if check_in.status.state not in TARGET_STATES:
+            raise CheckInError(f"invalid state {check_in.status.state!r}")
         return check_in
 
 
--- a/src/pollenbay/platform/instance.py
+++ b/src/pollenbay/platform/instance.py
@@ -47,25 +47,28 @@
             *call.headers,
             (REQUEST_HEADER, call.request.encode("latin-1")),
             (DEADLINE_HEADER, b"%d" % max(time_left_s * MS_PER_S, 1.0)),
-            (ORIGIN_HEADER, call.origin_service.encode("latin-1")),
+            (ORIGIN_HEADER, call.origin_service.encode("utf-8")),
         ]
         if target:
-            headers.append((EXPECTED_TARGET_HEADER, target.encode("latin-1")))
+            headers.append((EXPECTED_TARGET_HEADER, target.encode("utf-8")))
         method, path = call.method.encode("latin-1"), call.path.encode("latin-1")
         return HttpRequest(method, path, headers, call.body)
 
     def is_response_to(self, call: Call, response: HttpResponse) -> bool:
-        """Return whether a response belongs to this call; one without a request id is accepted."""
+        """Return whether a response bears the id of this call's request, or none."""
         response_id = header_value(response.headers, REQUEST_HEADER)
         return response_id is None or response_id == call.request.encode("latin-1")
 
     def outcome(self, call: Call, response: HttpResponse) -> Answered | NotRun:
         """Return the outcome that a complete response represents.
 
-        :raises DialectError: if it is not an instance's response, or has a status that is reserved
-            for requests that were not run without the header that confirms this.
+        :raises DialectError: if it is not an instance's response, does not bear the id of the
+            request, which instances repeat, or has a status that is reserved for requests that were
+            not run without the header that confirms this.
         """
         values, status = dict(response.headers), response.status
+        if REQUEST_HEADER not in values:
+            raise DialectError("response without the id of the request that it answers")
         if values.get(NOT_RUN_HEADER) or status == STATUS_MISDIRECTED:
             return NotRun(Reason.TARGET_REFUSED, RETRY_AFTER_S)
         if status in NOT_RUN_STATUSES:
--- a/src/pollenbay/platform/requests.py
+++ b/src/pollenbay/platform/requests.py
@@ -4,6 +4,7 @@
 """
 
 from functools import singledispatch
+from math import isfinite
 
 from curio.io import Socket
 
@@ -91,9 +92,12 @@
     if value is None:
         return None
     try:
-        return float(value) / MS_PER_S
+        time_left_ms = float(value)
     except ValueError as error:
         raise MalformedRequestError("the deadline header is not a number") from error
+    if not isfinite(time_left_ms):
+        raise MalformedRequestError("the deadline header is not a finite number")
+    return time_left_ms / MS_PER_S
 
 
 @singledispatch
--- a/src/pollenbay/platform/rules.py
+++ b/src/pollenbay/platform/rules.py
@@ -1,10 +1,13 @@
 """Conversion of the platform operator's configuration to a rule set."""
 
-from msgspec import DecodeError, Struct, ValidationError
-from msgspec.json import decode
+from typing import Annotated
+
+from msgspec import Meta, Struct
 from result import Err, Ok, Result
 
+from pollenbay.codec import CodecError, decode_json
 from pollenbay.ids import CallName, OperatorId, RuleVersion, ServiceName
+from pollenbay.ranges import Count, Milliseconds, Ratio
 from pollenbay.rule import Destination, Route, RuleSet, ServiceRule
 from pollenbay.rulerow import make_rule_set
 from pollenbay.states import CallClass
@@ -22,7 +25,7 @@
 
 class _WeightedService(Struct, frozen=True):
     service: ServiceName
-    weight: float
+    weight: Ratio
 
 
 class _Path(Struct, frozen=True, kw_only=True):
@@ -35,10 +38,10 @@
     name: CallName
     prefix: str
     route_type: str
-    timeout_ms: int
-    slo_ms: int = 0
+    timeout_ms: Milliseconds
+    slo_ms: Milliseconds = 0
     priority: int = 0
-    max_attempts: int = 1
+    max_attempts: Count = 1
     service: ServiceName | None = None
     traffic_split: tuple[_WeightedService, ...] = ()
 
@@ -58,7 +61,7 @@
     :param version: `VERSION_PREFIX` followed by a number.
     """
 
-    version: str
+    version: Annotated[str, Meta(pattern=rf"^{VERSION_PREFIX}?[0-9]{{1,18}}\Z")]
     services: tuple[_Service, ...] = ()
     hosts: tuple[_Host, ...] = ()
 
@@ -66,15 +69,21 @@
 def parse_config(value: bytes) -> Result[RuleSet, ConfigUnreadableError]:
     """Return the rule set that is equivalent to a configuration."""
     try:
-        config = decode(value, type=_Config)
-        version = RuleVersion(int(config.version.removeprefix(VERSION_PREFIX)))
-    except (DecodeError, ValidationError, ValueError) as error:
+        config = decode_json(value, _Config)
+    except CodecError as error:
         return Err(ConfigUnreadableError(str(error)))
+    version = RuleVersion(int(config.version.removeprefix(VERSION_PREFIX)))
+    if not all(_has_destination(path) for host in config.hosts for path in host.paths):
+        return Err(ConfigUnreadableError("expected a service or a traffic split for each path"))
     services = tuple(ServiceRule(service=service.name, calls=()) for service in config.services)
     routes = tuple(_make_route(host, path) for host in config.hosts for path in host.paths)
     return Ok(make_rule_set(version, services, OPERATOR_ID, 0.0, routes))
 
 
+def _has_destination(path: _Path) -> bool:
+    return path.service is not None or bool(path.traffic_split)
+
+
 def _make_route(host: _Host, path: _Path) -> Route:
     return Route(
         name=path.name,
--- a/src/pollenbay/platform/settings.py
+++ b/src/pollenbay/platform/settings.py
@@ -7,6 +7,7 @@
 from pollenbay.settings import Settings, SettingsInvalidError
 
 MS_PER_S = 1000.0
+PORT_MAX = 65535
 #: Check-in periods without a check-in after which an instance counts as absent. Check-ins may be
 #: seconds late.
 MISSED_CHECK_INS_MAX = 3.5
@@ -84,7 +85,7 @@
     :raises ValueError: if the text is not ``address:port``.
     """
     address, colon, port = text.rpartition(":")
-    if not colon or not port.isdecimal():
+    if not colon or not port.isdecimal() or not 0 < int(port) <= PORT_MAX:
         raise ValueError(f"expected ADDRESS:PORT, got {text!r}")
     return Endpoint(address, int(port))
 
--- a/src/pollenbay/platform/store.py
+++ b/src/pollenbay/platform/store.py
@@ -4,10 +4,11 @@
 from logging import getLogger
 from urllib.parse import quote
 
-from msgspec import Struct
+from msgspec import Raw, Struct
 from msgspec.json import encode
 from result import Err, Result
 
+from pollenbay.badrows import BadRows
 from pollenbay.commands.rulesync import JITTER_FACTORS, adopt_rules
 from pollenbay.http1 import HttpRequest, HttpResponse
 from pollenbay.ids import RowKey, RowVersion
@@ -15,6 +16,7 @@
 from pollenbay.platform.names import CONFIG_KEY, OPERATOR_TABLE
 from pollenbay.platform.rules import parse_config
 from pollenbay.platform.settings import Endpoint
+from pollenbay.ranges import KnownRowVersion
 from pollenbay.table import (
     Check,
     Row,
@@ -23,6 +25,7 @@
     Write,
     make_table,
     read_body,
+    read_rows,
 )
 
 STATUS_CHECK_FAILED = 412
@@ -51,18 +54,19 @@
     key: str
     part: str = ""
     value: bytes = b""
-    ver: RowVersion = RowVersion(0)
+    ver: KnownRowVersion = RowVersion(0)
     deleted: bool = False
 
 
 class _StoreRows(Struct):
     """Response to a read.
 
+    :param rows: each a `_StoreRow`, decoded one by one.
     :param ver: newest version in the store.
     """
 
-    rows: list[_StoreRow]
-    ver: int = 0
+    rows: list[Raw]
+    ver: KnownRowVersion = RowVersion(0)
 
 
 class _TransactionRow(Struct, omit_defaults=True):
@@ -109,10 +113,14 @@
         headers = [(b"content-type", b"application/json")]
         return HttpRequest(b"POST", b"/rows-tx", headers, encode(body))
 
-    def decode_rows(self, response: HttpResponse) -> Result[list[Row], TableError]:
-        """Return the rows in a response to a read."""
+    def decode_rows(
+        self, response: HttpResponse, bad_rows: BadRows
+    ) -> Result[list[Row], TableError]:
+        """Return the rows in a response to a read, without those that cannot be read."""
         found = read_body(response, _StoreRows)
-        return found.map(lambda rows: [_to_row(row) for row in rows.rows])
+        return found.map(
+            lambda body: [_to_row(row) for row in read_rows(body.rows, _StoreRow, bad_rows)]
+        )
 
     def is_conflict(self, response: HttpResponse) -> bool:
         """Return whether a response to a write reports a failed check."""
@@ -139,8 +147,10 @@
             after = None
             await retry_timer.wait()
             continue
-        await _adopt_newest(membership, result.ok_value.rows)
-        after = result.ok_value.ver
+        found = result.ok_value
+        rows = read_rows(found.rows, _StoreRow, membership.table.bad_rows)
+        await _adopt_newest(membership, rows)
+        after = found.ver
 
 
 def _feed_wait_s(membership: Membership) -> float:
--- a/src/pollenbay/publication.py
+++ b/src/pollenbay/publication.py
@@ -7,6 +7,7 @@
 
 from pollenbay.finding import Finding
 from pollenbay.ids import Digest, OperatorId, PublicationId, RuleVersion
+from pollenbay.ranges import EpochSeconds, KnownRuleVersion
 
 PUBLICATION_ID_BYTES = 8
 OUTCOME_FIELD = "outcome"
@@ -29,7 +30,7 @@
     """
 
     state: PublicationState
-    version: RuleVersion
+    version: KnownRuleVersion
     digest: Digest
     author: OperatorId
     changed: bool
@@ -41,10 +42,10 @@
     :param published_at: seconds since the epoch, by the clock of the publishing node.
     """
 
-    version: RuleVersion
+    version: KnownRuleVersion
     digest: Digest
     author: OperatorId
-    published_at: float
+    published_at: EpochSeconds
     publication: PublicationId
 
 
--- a/src/pollenbay/rendezvous.py
+++ b/src/pollenbay/rendezvous.py
@@ -3,12 +3,14 @@
 They serve as an address book only: a row is not a lease.
 """
 
-from msgspec import DecodeError, Struct, ValidationError
-from msgspec.json import decode, encode
+from msgspec import Struct
+from msgspec.json import encode
 from result import Ok, Result
 
+from pollenbay.codec import CodecError, decode_json
 from pollenbay.gossipmessage import Record
 from pollenbay.ids import Incarnation, InstanceId, RowKey, RuleVersion, ZoneId
+from pollenbay.ranges import EpochSeconds, IpAddress, Port, StoredIncarnation
 from pollenbay.table import Check, Row, Table, TableError, Write
 
 NODES_PREFIX = "nodes/"
@@ -39,10 +41,10 @@
     """
 
     instance: InstanceId
-    incarnation: Incarnation
-    address: str
-    gossip_port: int
-    written_at: float
+    incarnation: StoredIncarnation
+    address: IpAddress
+    gossip_port: Port
+    written_at: EpochSeconds
 
 
 def row_key(zone: ZoneId, instance: InstanceId) -> RowKey:
@@ -92,7 +94,7 @@
 async def read_incarnation(table: Table, record: Record) -> Result[Incarnation, TableError]:
     """Return the incarnation stored in a node's row; 0 if there is no row."""
     result = await table.get(row_key(record.zone, record.instance))
-    return result.map(lambda row: _incarnation_in(row))
+    return result.map(lambda row: _incarnation_in(table, row))
 
 
 async def read_seeds(table: Table, record: Record) -> Result[list[NodeRow], TableError]:
@@ -114,7 +116,7 @@
         result = await table.scan(prefix, after, limit)
         if result.is_err():
             return result
-        seeds.update(_node_rows(result.ok_value))
+        seeds.update(_node_rows(table, result.ok_value))
     seeds.pop(record.instance, None)
     return Ok(list(seeds.values()))
 
@@ -133,7 +135,8 @@
     if result.is_err():
         return result
     cutoff_epoch_s = epoch_s - ABANDONED_PERIODS * announce_period_s(members)
-    rows = [row for row in result.ok_value if _is_older(row, cutoff_epoch_s)][:REMOVALS_LIMIT]
+    rows = [row for row in result.ok_value if _is_older(table, row, cutoff_epoch_s)]
+    rows = rows[:REMOVALS_LIMIT]
     if not rows:
         return Ok(0)
     checks = [Check(row.key, row.version) for row in rows]
@@ -147,23 +150,25 @@
     return result.map(bool)
 
 
-def _incarnation_in(row: Row | None) -> Incarnation:
-    node = None if row is None else _node_row(row)
+def _incarnation_in(table: Table, row: Row | None) -> Incarnation:
+    node = None if row is None else _node_row(table, row)
     return Incarnation(0) if node is None else node.incarnation
 
 
-def _is_older(row: Row, epoch_s: float) -> bool:
-    node = _node_row(row)
+def _is_older(table: Table, row: Row, epoch_s: float) -> bool:
+    node = _node_row(table, row)
     return node is not None and node.written_at < epoch_s
 
 
-def _node_rows(rows: list[Row]) -> dict[InstanceId, NodeRow]:
-    nodes = [_node_row(row) for row in rows]
+def _node_rows(table: Table, rows: list[Row]) -> dict[InstanceId, NodeRow]:
+    nodes = [_node_row(table, row) for row in rows]
     return {node.instance: node for node in nodes if node is not None}
 
 
-def _node_row(row: Row) -> NodeRow | None:
+def _node_row(table: Table, row: Row) -> NodeRow | None:
+    """Return the node in a row; None for a row of another writer that holds none."""
     try:
-        return decode(row.value, type=NodeRow)
-    except (DecodeError, ValidationError):
+        return decode_json(row.value, NodeRow)
+    except CodecError as error:
+        table.bad_rows.record(row.key, row.version, str(error))
         return None
--- a/src/pollenbay/rule.py
+++ b/src/pollenbay/rule.py
@@ -3,6 +3,7 @@
 from msgspec import Struct, field
 
 from pollenbay.ids import CallName, Digest, OperatorId, RuleVersion, ServiceName
+from pollenbay.ranges import Count, EpochSeconds, KnownRuleVersion, Milliseconds, Ratio
 from pollenbay.states import CallClass
 
 DEFAULT_RETRIES = 2
@@ -48,7 +49,7 @@
     """
 
     service: ServiceName
-    weight: float = 1.0
+    weight: Ratio = 1.0
 
 
 class Route(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -66,9 +67,9 @@
     prefix: str
     call_class: CallClass
     idempotent: bool
-    wait_ms: int
-    objective_ms: int
-    attempts: int
+    wait_ms: Milliseconds
+    objective_ms: Milliseconds
+    attempts: Count
     destinations: tuple[Destination, ...]
 
 
@@ -83,10 +84,10 @@
     :param routes: rules of all routes, where requests are selected by host and path.
     """
 
-    version: RuleVersion
+    version: KnownRuleVersion
     digest: Digest
     author: OperatorId
-    published_at: float
+    published_at: EpochSeconds
     services: tuple[ServiceRule, ...]
     routes: tuple[Route, ...] = ()
 
--- a/src/pollenbay/rulerow.py
+++ b/src/pollenbay/rulerow.py
@@ -3,10 +3,10 @@
 from hashlib import sha256
 from typing import TypeVar
 
-from msgspec import DecodeError, ValidationError
-from msgspec.msgpack import Decoder, Encoder
+from msgspec.msgpack import Encoder
 from result import Err, Ok, Result
 
+from pollenbay.codec import CodecError, MessageDecoder, make_message_decoder
 from pollenbay.ids import Digest, OperatorId, PublicationId, RowKey, RuleVersion
 from pollenbay.publication import HistoryEntry, PublicationRecord
 from pollenbay.rule import Route, RuleSet, ServiceRule
@@ -18,9 +18,11 @@
 _Value = TypeVar("_Value", RuleSet, HistoryEntry, PublicationRecord)
 
 _ENCODER = Encoder()
-_RULES_DECODER = Decoder(RuleSet)
-_ENTRY_DECODER = Decoder(HistoryEntry)
-_RECORD_DECODER = Decoder(PublicationRecord)
+#: Maximum size of a row; rules are the largest.
+ROW_LIMIT_BYTES = 8 * 1024 * 1024
+_RULES_DECODER = make_message_decoder(RuleSet, ROW_LIMIT_BYTES)
+_ENTRY_DECODER = make_message_decoder(HistoryEntry, ROW_LIMIT_BYTES)
+_RECORD_DECODER = make_message_decoder(PublicationRecord, ROW_LIMIT_BYTES)
 
 
 class RuleRowError(Exception):
@@ -94,8 +96,8 @@
     )
 
 
-def _decode(decoder: Decoder[_Value], value: bytes) -> Result[_Value, RuleRowError]:
+def _decode(decoder: MessageDecoder[_Value], value: bytes) -> Result[_Value, RuleRowError]:
     try:
         return Ok(decoder.decode(value))
-    except (DecodeError, ValidationError) as error:
+    except CodecError as error:
         return Err(RuleRowError(str(error)))
--- a/src/pollenbay/stream.py
+++ b/src/pollenbay/stream.py
@@ -30,7 +30,8 @@
     sock = make_socket(AF_INET, SOCK_STREAM)
     try:
         await timeout_after(timeout_s, sock.connect, (address, port))
-    except (OSError, TaskTimeout) as error:
+    except (OSError, OverflowError, ValueError, TaskTimeout) as error:
+        # A port out of range raises OverflowError, an address with a NUL character ValueError.
         await sock.close()
         raise StreamConnectError(f"{address}:{port}: {error}") from error
     except BaseException:
--- a/src/pollenbay/table.py
+++ b/src/pollenbay/table.py
@@ -8,13 +8,16 @@
 from urllib.parse import quote
 
 from curio import TaskTimeout, timeout_after
-from msgspec import DecodeError, Struct, ValidationError
-from msgspec.json import decode, encode
+from msgspec import Raw, Struct
+from msgspec.json import encode
 from result import Err, Ok, Result
 
+from pollenbay.badrows import BadRows, make_bad_rows
+from pollenbay.codec import CodecError, decode_each, decode_json
 from pollenbay.http1 import HttpConnectError, HttpError, HttpRequest, HttpResponse
 from pollenbay.httpclient import HttpClient, connect_http
 from pollenbay.ids import RowKey, RowVersion
+from pollenbay.ranges import KnownRowVersion
 
 TABLE_TIMEOUT_S = 2.0
 SCAN_LIMIT_ROWS = 1000
@@ -47,7 +50,7 @@
     """
 
     key: RowKey
-    version: RowVersion
+    version: KnownRowVersion
     value: bytes
 
 
@@ -73,9 +76,12 @@
 
 
 class Rows(Struct):
-    """Response to a read."""
+    """Response to a read.
+
+    :param rows: each a `Row`, decoded one by one.
+    """
 
-    rows: list[Row]
+    rows: list[Raw]
 
 
 class TableEncoding(Protocol):
@@ -93,8 +99,10 @@
     def transaction_request(self, checks: list[Check], writes: list[Write]) -> HttpRequest:
         """Return the request that applies writes if all checks hold, without the host header."""
 
-    def decode_rows(self, response: HttpResponse) -> Result[list[Row], TableError]:
-        """Return the rows in a response to a read."""
+    def decode_rows(
+        self, response: HttpResponse, bad_rows: BadRows
+    ) -> Result[list[Row], TableError]:
+        """Return the rows in a response to a read, without those that cannot be read."""
 
     def is_conflict(self, response: HttpResponse) -> bool:
         """Return whether a response to a write reports a failed check."""
@@ -116,9 +124,11 @@
         """Return the request that applies writes if all checks hold."""
         return HttpRequest(b"POST", b"/table/transact", [], encode(Transaction(checks, writes)))
 
-    def decode_rows(self, response: HttpResponse) -> Result[list[Row], TableError]:
-        """Return the rows in a response to a read."""
-        return read_body(response, Rows).map(lambda found: found.rows)
+    def decode_rows(
+        self, response: HttpResponse, bad_rows: BadRows
+    ) -> Result[list[Row], TableError]:
+        """Return the rows in a response to a read, without those that cannot be read."""
+        return read_body(response, Rows).map(lambda found: read_rows(found.rows, Row, bad_rows))
 
     def is_conflict(self, response: HttpResponse) -> bool:
         """Return whether a response to a write reports a failed check."""
@@ -139,6 +149,12 @@
         self._timeout_s = timeout_s
         self._encoding = encoding
         self._idle: list[HttpClient] = []
+        self._bad_rows = make_bad_rows()
+
+    @property
+    def bad_rows(self) -> BadRows:
+        """Return the record of rows that could not be read."""
+        return self._bad_rows
 
     async def get(self, key: RowKey) -> Result[Row | None, TableError]:
         """Read one row; `Ok(None)` if it is absent."""
@@ -189,7 +205,7 @@
 
     async def _read(self, target: str) -> Result[list[Row], TableError]:
         response = await self.fetch(target, self._timeout_s)
-        return response.and_then(self._encoding.decode_rows)
+        return response.and_then(lambda found: self._encoding.decode_rows(found, self._bad_rows))
 
     async def _exchange(self, request: HttpRequest) -> HttpResponse:
         request.headers.insert(0, (b"host", f"{self._address}:{self._port}".encode("ascii")))
@@ -225,11 +241,20 @@
     if response.status != STATUS_OK:
         return Err(TableUnavailableError(f"status {response.status}"))
     try:
-        return Ok(decode(response.body, type=body_type))
-    except (DecodeError, ValidationError) as error:
+        return Ok(decode_json(response.body, body_type))
+    except CodecError as error:
         return Err(TableUnavailableError(str(error)))
 
 
+def read_rows(parts: list[Raw], row_type: type[_Body], bad_rows: BadRows) -> list[_Body]:
+    """Return the rows that can be read, and record the others."""
+    results = decode_each(parts, row_type)
+    for part, result in zip(parts, results, strict=True):
+        if isinstance(result, Err):
+            bad_rows.record_unreadable(bytes(part), str(result.err_value))
+    return [result.ok_value for result in results if isinstance(result, Ok)]
+
+
 def _is_in_range(row: Row, prefix: str, after: str) -> bool:
     return row.key.startswith(prefix) and row.key > after
 
--- a/src/pollenbay/target.py
+++ b/src/pollenbay/target.py
@@ -198,7 +198,11 @@
         except BaseException:
             await client.close()
             raise
-        await self.keep(client, clock())
+        if isinstance(outcome, NotRun):
+            # A faulty target may write a refusal once more, as the response to a later request.
+            await client.close()
+        else:
+            await self.keep(client, clock())
         return outcome
 
 
--- a/src/standins/instance.py
+++ b/src/standins/instance.py
@@ -61,6 +61,19 @@
     BARE_503 = "bare-503"
     #: No response; the connection stays open.
     HANG = "hang"
+    #: As `REFUSED`; the refusal is written once more when the next request arrives.
+    REFUSED_AGAIN = "refused-again"
+    #: The same, without the id of the request when it is written once more.
+    REFUSED_AGAIN_UNNAMED = "refused-again-unnamed"
+
+
+REFUSALS = frozenset(
+    {
+        ResponseFault.REFUSED,
+        ResponseFault.REFUSED_AGAIN,
+        ResponseFault.REFUSED_AGAIN_UNNAMED,
+    }
+)
 
 
 class ExecutedRequest(Struct):
@@ -98,7 +111,10 @@
     async def serve(self, sock: Socket) -> None:
         """Serve a connection until it closes."""
         server = HttpServer(sock)
+        leftover = b""
         while (request := await read_or_refuse(server)) is not None:
+            await sock.sendall(leftover)
+            leftover = repeated_refusal(request)
             if not await self._respond(sock, server, request):
                 return
 
@@ -108,12 +124,14 @@
 
     async def _respond(self, sock: Socket, server: HttpServer, request: HttpRequest) -> bool:
         expected = header_value(request.headers, EXPECTED_TARGET_HEADER)
+        echo = (REQUEST_HEADER, header_value(request.headers, REQUEST_HEADER) or b"")
         if expected not in (None, self._name):
-            return await server.write_response(HttpResponse(421, [(TARGET_HEADER, self._name)]))
-        query = parse_qs(urlsplit(request.target.decode("latin-1")).query)
-        fault = ResponseFault(query.get("spoil", ["nothing"])[0])
-        if fault is ResponseFault.REFUSED:
-            return await server.write_response(HttpResponse(503, [(NOT_RUN_HEADER, b"1")]))
+            headers = [echo, (TARGET_HEADER, self._name)]
+            return await server.write_response(HttpResponse(421, headers))
+        query = _query_of(request)
+        fault = _fault_of(query)
+        if fault in REFUSALS:
+            return await server.write_response(HttpResponse(503, [echo, (NOT_RUN_HEADER, b"1")]))
         self._record(request)
         await sleep(float(query.get("work_s", ["0"])[0]))
         return await self._respond_with_fault(sock, server, request, fault)
@@ -166,6 +184,27 @@
         return await server.write_response(HttpResponse(200, headers, body))
 
 
+def repeated_refusal(request: HttpRequest) -> bytes:
+    """Return the refusal that is written once more before the response to the next request."""
+    fault = _fault_of(_query_of(request))
+    lines = [b"HTTP/1.1 503 Service Unavailable", NOT_RUN_HEADER + b": 1", b"content-length: 0"]
+    if fault is ResponseFault.REFUSED_AGAIN:
+        lines.append(
+            REQUEST_HEADER + b": " + (header_value(request.headers, REQUEST_HEADER) or b"")
+        )
+    elif fault is not ResponseFault.REFUSED_AGAIN_UNNAMED:
+        return b""
+    return b"\r\n".join([*lines, b"", b""])
+
+
+def _query_of(request: HttpRequest) -> dict[str, list[str]]:
+    return parse_qs(urlsplit(request.target.decode("latin-1")).query)
+
+
+def _fault_of(query: dict[str, list[str]]) -> ResponseFault:
+    return ResponseFault(query.get("spoil", ["nothing"])[0])
+
+
 async def serve_instance(name: str, port: int, control_port: int) -> None:
     """Serve requests and the control port until cancelled."""
     instance = Instance(name)
--- a/tests/stepped_table.py
+++ b/tests/stepped_table.py
@@ -7,6 +7,7 @@
 
 from result import Err, Ok, Result
 
+from pollenbay.badrows import make_bad_rows
 from pollenbay.ids import RowKey, RowVersion
 from pollenbay.table import (
     Check,
@@ -35,6 +36,7 @@
     """Rows in memory; stale reads return the rows of the last `snapshot`."""
 
     def __init__(self) -> None:
+        self.bad_rows = make_bad_rows()
         self.rows: dict[RowKey, Row] = {}
         self.applied: list[Transaction] = []
         self.delayed: list[Transaction] = []
--- a/tests/table_double.py
+++ b/tests/table_double.py
@@ -6,6 +6,7 @@
 from curio import Event
 from result import Err, Ok, Result
 
+from pollenbay.badrows import make_bad_rows
 from pollenbay.ids import RowKey, RowVersion
 from pollenbay.table import (
     Check,
@@ -50,6 +51,7 @@
         self.stale_rows: dict[RowKey, Row] | None = None
         self.transaction_sizes: list[int] = []
         self.reads = 0
+        self.bad_rows = make_bad_rows()
 
     async def get(self, key: RowKey) -> Result[Row | None, TableError]:
         """Read one row."""
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -7,6 +7,7 @@
 from harness import ADDRESS, Process, Processes, control
 from pytest import fixture, mark
 
+from pollenbay.badrows import make_bad_rows
 from pollenbay.http1 import HttpResponse
 from pollenbay.ids import RowKey
 from pollenbay.platform.settings import Endpoint
@@ -84,6 +85,25 @@
     run_with_table(store, work)
 
 
-@mark.parametrize("body", [b"", b"{", b'{"rows": [{"table": 1}]}', b'{"rows": 7}'])
+@mark.parametrize("body", [b"", b"{", b'{"rows": 7}', b'{"rows": ' + b"[" * 200_000])
 def test_malformed_response_is_rejected(body: bytes) -> None:
-    assert StoreEncoding().decode_rows(HttpResponse(200, [], body)).is_err()
+    assert StoreEncoding().decode_rows(HttpResponse(200, [], body), make_bad_rows()).is_err()
+
+
+@mark.parametrize(
+    "odd_row",
+    [
+        b"7",
+        b'{"table": 1}',
+        b'{"table": "t", "key": "k", "value": "no base64!"}',
+        b'{"table": "t", "key": "k", "value": "", "ver": 1e400}',
+        b'{"table": "t", "key": "k", "value": "", "ver": %d}' % 2**70,
+    ],
+)
+def test_malformed_row_costs_only_itself(odd_row: bytes) -> None:
+    good_row = b'{"table": "t", "key": "k", "value": "eA==", "ver": 3}'
+    body = b'{"rows": [%s, %s, %s]}' % (good_row, odd_row, good_row)
+    bad_rows = make_bad_rows()
+    rows = StoreEncoding().decode_rows(HttpResponse(200, [], body), bad_rows).unwrap()
+    assert [(row.key, row.value, row.version) for row in rows] == [("t/k", b"x", 3)] * 2
+    assert bad_rows.bad_rows == 1
