Run pipelined requests of callers side by side

Ruled out: waiting for readable bytes and for the end of a call in one task, which curio offers only by cancelling one of them. Change: the connection's task reads ahead and starts a task for each idempotent call of a caller, which sends its response in its turn. A request that must not run twice runs alone. Time limits count from the arrival. A response closes the connection only if nothing was begun behind it; a malformed request ends only what follows it; a caller that leaves ends all. The watch goes by task.

--- a/src/pollenbay/call.py
+++ b/src/pollenbay/call.py
@@ -50,6 +50,7 @@
 
     :param request: id of the request; each attempt of its caller has its own.
     :param path: path and query as sent to the target.
+    :param arrived_at: monotonic seconds at which it was read, from which its time limits count.
     :param wait_s: maximum seconds that the caller waits, if it states them.
     """
 
@@ -59,6 +60,7 @@
     path: str
     headers: Headers
     body: bytes
+    arrived_at: float
     wait_s: float | None = None
 
 
--- a/src/pollenbay/callerfrontend.py
+++ b/src/pollenbay/callerfrontend.py
@@ -3,6 +3,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from enum import Enum
+from functools import partial
 
 from curio import Task, current_task, sleep
 from curio.io import Socket
@@ -17,6 +18,7 @@
 from pollenbay.ids import CallerId
 from pollenbay.node import Node
 from pollenbay.outcome import NotRun, Outcome
+from pollenbay.pipeline import Pipeline, make_pipeline
 from pollenbay.queries.rules import find_call
 from pollenbay.states import NodeState, Reason
 from pollenbay.translation import (
@@ -29,6 +31,8 @@
 
 #: Number of requests after which a connection that always has a next one lets other tasks run.
 REQUESTS_PER_YIELD = 8
+#: Time by which a connection with calls in progress may be idle for longer.
+CALL_LIMIT_S = 60.0
 STATUS_NO_CONTENT = 204
 STATUS_BAD_REQUEST = 400
 
@@ -42,6 +46,7 @@
 
 
 Respond = Callable[[Node, Connection, HttpRequest], Awaitable[HttpResponse]]
+MayOverlap = Callable[[Node, HttpRequest], bool]
 
 
 class BadInputSource(Enum):
@@ -83,39 +88,76 @@
     await serve_requests(node, sock, BadInputSource.OUTBOUND.value, _respond_to_target)
 
 
-async def serve_requests(node: Node, sock: Socket, source: str, respond: Respond) -> None:
-    """Respond to the requests of one connection in order until it closes.
+def never_overlaps(node: Node, request: HttpRequest) -> bool:
+    """Let every request wait for the response to the one before it."""
+    return False
+
+
+async def serve_requests(
+    node: Node,
+    sock: Socket,
+    source: str,
+    respond: Respond,
+    may_overlap: MayOverlap = never_overlaps,
+) -> None:
+    """Respond to the requests of one connection, in their order, until it closes.
 
     :param source: label under which bad input is counted.
+    :param may_overlap: returns whether a request may run beside earlier and later ones. Any other
+        request runs alone: after all before it and before all behind it.
     """
-    server = HttpServer(sock, node.settings.limits.body_bytes)
-    connection = Connection(sock, await current_task())
+    task = await current_task()
+    pipeline = make_pipeline(task)
+    server = HttpServer(sock, node.settings.limits.body_bytes, pipeline.wait_until_empty)
     served = 0
-    while True:
-        request = await _read_request(node, server, connection.task, source)
-        if request is None:
-            return
-        response = await respond(node, connection, request)
-        if node.state is NodeState.DRAINING:
-            response.headers.append((b"connection", b"close"))
-        if not await server.write_response(response):
-            return
-        served += 1
-        if served % REQUESTS_PER_YIELD == 0:
-            await sleep(0)
+    try:
+        while True:
+            request = await _read_request(node, server, pipeline, task, source)
+            if request is None or pipeline.closed:
+                return
+            work = partial(_respond, node, sock, request, respond)
+            if may_overlap(node, request):
+                is_last = not server.expects_more
+                await pipeline.wait_for_room()
+                await pipeline.start(request, server.detach_response(), work)
+            else:
+                await pipeline.wait_until_empty()
+                is_last = not await server.write_response(await work(task))
+            if is_last:
+                await pipeline.wait_until_empty()
+                return
+            served += 1
+            if served % REQUESTS_PER_YIELD == 0:
+                await sleep(0)
+    finally:
+        await pipeline.cancel()
+
+
+async def _respond(
+    node: Node, sock: Socket, request: HttpRequest, respond: Respond, task: Task
+) -> HttpResponse:
+    response = await respond(node, Connection(sock, task), request)
+    if node.state is NodeState.DRAINING:
+        response.headers.append((b"connection", b"close"))
+    return response
 
 
 async def _read_request(
-    node: Node, server: HttpServer, task: Task, source: str
+    node: Node, server: HttpServer, pipeline: Pipeline, task: Task, source: str
 ) -> HttpRequest | None:
-    ends_at = node.timer.now() + node.settings.limits.caller_idle_s
+    """Return the next request, or None at the end of the connection."""
+    limit_s = node.settings.limits.caller_idle_s + (CALL_LIMIT_S if pipeline.calls else 0.0)
     try:
-        with node.watch.watching_idle(task, ends_at):
-            return await server.read_request()
+        with node.watch.watching_idle(task, node.timer.now() + limit_s):
+            request = await server.read_request()
     except HttpRequestError as error:
         node.metrics.record_bad_input(source)
+        await pipeline.wait_until_empty()
         await server.write_failure(response_to_bad_request(error.status))
         return None
+    if request is not None:
+        request.arrived_at = node.timer.now()
+    return request
 
 
 async def _respond_to_caller(
--- a/src/pollenbay/commands/routeentry.py
+++ b/src/pollenbay/commands/routeentry.py
@@ -44,9 +44,8 @@
     refusal = _throttle(node, call, route)
     if refusal is not None:
         return refusal
-    started_at = node.timer.now()
     outcome = await _place_with_deadline(node, call, route, progress)
-    _record_end(node, call, outcome, started_at)
+    _record_end(node, call, outcome, route_request.arrived_at)
     return outcome
 
 
@@ -91,9 +90,9 @@
     record_entry(node.throttle, call.name, is_entry, node.origins.share(call.name))
 
 
-def _record_end(node: Node, call: Call, outcome: Outcome, started_at: float) -> None:
+def _record_end(node: Node, call: Call, outcome: Outcome, arrived_at: float) -> None:
     now = node.timer.now()
-    node.metrics.record_call(call.call_class, outcome, now - started_at)
+    node.metrics.record_call(call.call_class, outcome, now - arrived_at)
     failed = not is_successful(outcome)
     downstream_level = node.saturation.service_levels.get(call.service, UNKNOWN_LEVELS).downstream
     if failed and node.decisions.reserve_line(Decision.FAILED):
@@ -138,7 +137,7 @@
         path=route_request.path,
         headers=route_request.headers,
         body=route_request.body,
-        deadline=deadline_of(route.wait_ms, route_request.wait_s, node.timer.now()),
+        deadline=deadline_of(route.wait_ms, route_request.wait_s, route_request.arrived_at),
         idempotent=route.idempotent,
         origin_service=node.settings.service,
         sender_enforces_deadline=True,
--- a/src/pollenbay/http1.py
+++ b/src/pollenbay/http1.py
@@ -77,12 +77,16 @@
 
 
 class HttpRequest(Struct):
-    """One complete request."""
+    """One complete request.
+
+    :param arrived_at: monotonic seconds at which it was read; 0 for a request to be sent.
+    """
 
     method: bytes
     target: bytes
     headers: Headers
     body: bytes = b""
+    arrived_at: float = 0.0
 
 
 class HttpResponse(Struct):
--- a/src/pollenbay/httpserver.py
+++ b/src/pollenbay/httpserver.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 server connection that reads complete requests and writes complete responses."""
 
+from collections.abc import Awaitable, Callable
 from logging import getLogger
 
 import h11
@@ -32,17 +33,68 @@
 LOG = getLogger("pollenbay.http")
 
 
+async def _send_at_once() -> None:
+    """Let interim responses go out without waiting."""
+
+
+class PendingResponse:
+    """The response to one request, which is still to be sent.
+
+    :param conn: connection state in which the request was read.
+    """
+
+    def __init__(self, sock: Socket, conn: h11.Connection, is_head_request: bool) -> None:
+        self._sock = sock
+        self._conn = conn
+        self._is_head_request = is_head_request
+
+    async def send(self, response: HttpResponse) -> bool:
+        """Send a response in one write and return whether the connection can be used again."""
+        await self._sock.sendall(self._encode(response))
+        return self._conn.our_state is h11.DONE and self._conn.their_state is h11.DONE
+
+    async def send_failure(self, response: HttpResponse) -> None:
+        """Send a response to an unreadable request, unless a response was already started."""
+        if self._conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+            response.headers.append((b"connection", b"close"))
+            await self._sock.sendall(self._encode(response))
+
+    def _encode(self, response: HttpResponse) -> bytes:
+        body = b"" if response.status in STATUSES_WITHOUT_BODY else response.body
+        headers = response.headers
+        if response.status not in STATUSES_WITHOUT_BODY:
+            headers = [*headers, (b"content-length", b"%d" % len(body))]
+        try:
+            head = h11.Response(status_code=response.status, headers=headers)
+        except h11.LocalProtocolError as error:
+            LOG.warning("response cannot be sent", extra={"error": str(error)})
+            return self._encode(HttpResponse(STATUS_BAD_GATEWAY, []))
+        parts = [self._conn.send(head)]
+        if body and not self._is_head_request:
+            parts.append(self._conn.send(h11.Data(data=body)))
+        parts.append(self._conn.send(h11.EndOfMessage()))
+        return b"".join(part for part in parts if part)
+
+
 class HttpServer:
     """Server side of one HTTP/1.1 connection.
 
     :param sock: an accepted socket.
     :param body_limit_bytes: longest request body that is accepted.
+    :param wait_for_turn: returns once the responses to all earlier requests have been sent, before
+        an interim response may be.
     """
 
-    def __init__(self, sock: Socket, body_limit_bytes: int = BODY_LIMIT_BYTES) -> None:
+    def __init__(
+        self,
+        sock: Socket,
+        body_limit_bytes: int = BODY_LIMIT_BYTES,
+        wait_for_turn: Callable[[], Awaitable[None]] = _send_at_once,
+    ) -> None:
         self._sock = sock
         self._body_limit_bytes = body_limit_bytes
-        self._conn = h11.Connection(h11.SERVER, max_incomplete_event_size=HEADER_LIMIT_BYTES)
+        self._wait_for_turn = wait_for_turn
+        self._conn = _make_connection()
         self._is_head_request = False
         self._received_bytes = 0
 
@@ -51,6 +103,11 @@
         """Return the accepted socket."""
         return self._sock
 
+    @property
+    def expects_more(self) -> bool:
+        """Return whether the client may send another request after the last one."""
+        return self._conn.their_state is h11.DONE
+
     async def read_request(self) -> HttpRequest | None:
         """Return the next request, or None when the client has closed.
 
@@ -70,16 +127,30 @@
         body = await self._read_body()
         return HttpRequest(head.method, head.target, headers, body)
 
+    def detach_response(self) -> PendingResponse:
+        """Return the response to the last request, to be sent later.
+
+        The next request can be read before.
+        """
+        pending = self._pending_response()
+        unread_bytes, has_closed = self._conn.trailing_data
+        self._conn = _make_connection()
+        if unread_bytes:
+            self._conn.receive_data(unread_bytes)
+        if has_closed:
+            self._conn.receive_data(b"")
+        return pending
+
     async def write_response(self, response: HttpResponse) -> bool:
         """Send a response in one write and return whether the connection can be used again."""
-        await self._sock.sendall(self._encode(response))
-        return self._conn.our_state is h11.DONE and self._conn.their_state is h11.DONE
+        return await self._pending_response().send(response)
 
     async def write_failure(self, response: HttpResponse) -> None:
         """Send a response to an unreadable request, unless a response was already started."""
-        if self._conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            response.headers.append((b"connection", b"close"))
-            await self._sock.sendall(self._encode(response))
+        await self._pending_response().send_failure(response)
+
+    def _pending_response(self) -> PendingResponse:
+        return PendingResponse(self._sock, self._conn, self._is_head_request)
 
     def _require_length_in_limit(self, headers: Headers) -> None:
         content_length = header_value(headers, b"content-length")
@@ -88,22 +159,6 @@
                 PROBLEM_STATUSES[BodyProblem.TOO_LONG], BodyProblem.TOO_LONG.value
             )
 
-    def _encode(self, response: HttpResponse) -> bytes:
-        body = b"" if response.status in STATUSES_WITHOUT_BODY else response.body
-        headers = response.headers
-        if response.status not in STATUSES_WITHOUT_BODY:
-            headers = [*headers, (b"content-length", b"%d" % len(body))]
-        try:
-            head = h11.Response(status_code=response.status, headers=headers)
-        except h11.LocalProtocolError as error:
-            LOG.warning("response cannot be sent", extra={"error": str(error)})
-            return self._encode(HttpResponse(STATUS_BAD_GATEWAY, []))
-        parts = [self._conn.send(head)]
-        if body and not self._is_head_request:
-            parts.append(self._conn.send(h11.Data(data=body)))
-        parts.append(self._conn.send(h11.EndOfMessage()))
-        return b"".join(part for part in parts if part)
-
     async def _read_body(self) -> bytes:
         try:
             return await collect_body(
@@ -124,8 +179,13 @@
 
     async def _receive(self) -> None:
         if self._conn.they_are_waiting_for_100_continue:
+            await self._wait_for_turn()
             continue_response = h11.InformationalResponse(status_code=100, headers=[])
             await self._sock.sendall(self._conn.send(continue_response))
         data = await receive(self._sock, RECEIVE_BYTES)
         self._received_bytes += len(data)
         self._conn.receive_data(data)
+
+
+def _make_connection() -> h11.Connection:
+    return h11.Connection(h11.SERVER, max_incomplete_event_size=HEADER_LIMIT_BYTES)
--- /dev/null
+++ b/src/pollenbay/pipeline.py
@@ -0,0 +1,124 @@
+"""Requests of one connection that run side by side while their responses go out in order.
+
+The connection's task reads the requests and starts a task for each call that may run beside others.
+That task waits for its turn, which the call before it passes on, and then sends its own response.
+"""
+
+from collections.abc import Awaitable, Callable
+from logging import getLogger
+
+from curio import Event, Task, current_task, spawn
+
+from pollenbay.http1 import HttpRequest, HttpResponse
+from pollenbay.httpserver import PendingResponse
+
+#: Maximum number of calls of one connection that run at once.
+CALLS_MAX = 16
+#: Size of the requests and responses held for one connection from which no further call is started.
+HELD_BYTES_MAX = 1024 * 1024
+
+LOG = getLogger("pollenbay.http")
+
+Work = Callable[[Task], Awaitable[HttpResponse]]
+
+
+class Pipeline:
+    """Calls of one connection in the order of their requests.
+
+    :param task: task that reads the requests; it is cancelled when the connection must not be used
+        any more.
+    """
+
+    def __init__(self, task: Task) -> None:
+        self._task = task
+        self._calls: dict[Task, int] = {}
+        self._started = 0
+        self._turn = 0
+        self._changed = Event()
+        self._closed = False
+
+    @property
+    def closed(self) -> bool:
+        """Return whether the response that closes the connection was sent or can't be sent."""
+        return self._closed
+
+    @property
+    def calls(self) -> int:
+        """Return the number of calls whose response has not been sent."""
+        return len(self._calls)
+
+    @property
+    def has_room(self) -> bool:
+        """Return whether another call may start."""
+        held_bytes = sum(self._calls.values())
+        return len(self._calls) < CALLS_MAX and held_bytes < HELD_BYTES_MAX
+
+    async def wait_for_room(self) -> None:
+        """Wait until another call may start."""
+        while not self.has_room:
+            await self._wait_for_change()
+
+    async def wait_until_empty(self) -> None:
+        """Wait until the responses to all calls have been sent."""
+        while self._calls:
+            await self._wait_for_change()
+
+    async def start(self, request: HttpRequest, pending: PendingResponse, work: Work) -> None:
+        """Start a call.
+
+        :param pending: sends the response.
+        :param work: runs the call, in the task that it is given, and returns the response.
+        """
+        number = self._started
+        self._started += 1
+        task = await spawn(self._run, number, pending, work, daemon=True)
+        self._calls[task] = len(request.body)
+
+    async def cancel(self) -> None:
+        """Cancel all calls and wait for their end."""
+        self._closed = True
+        for task in list(self._calls):
+            await task.cancel()
+
+    async def _run(self, number: int, pending: PendingResponse, work: Work) -> None:
+        task = await current_task()
+        sent = False
+        try:
+            response = await work(task)
+            self._calls[task] += len(response.body)
+            while self._turn != number:
+                await self._wait_for_change()
+            sent = await self._send(number, pending, response)
+        finally:
+            del self._calls[task]
+            self._turn += 1
+            self._closed = self._closed or not sent
+            await self._changed.set()
+            if self._closed:
+                await self._task.cancel(blocking=False)
+
+    async def _send(self, number: int, pending: PendingResponse, response: HttpResponse) -> bool:
+        """Send a response and return whether the connection can be used again.
+
+        What stands behind a response that closes the connection counts as not read by the client,
+        so the connection is closed only if no later call was started.
+        """
+        if self._closed:
+            return False
+        is_last = number + 1 == self._started
+        if not is_last:
+            response.headers = [pair for pair in response.headers if pair[0] != b"connection"]
+        try:
+            return await pending.send(response)
+        except OSError as error:
+            LOG.debug("response not sent", extra={"error": str(error)})
+            return False
+
+    async def _wait_for_change(self) -> None:
+        self._changed.clear()
+        await self._changed.wait()
+
+
+def make_pipeline(task: Task) -> Pipeline:
+    """Return a pipeline without calls."""
+    return Pipeline(task)
--- a/src/pollenbay/platform/requests.py
+++ b/src/pollenbay/platform/requests.py
@@ -11,7 +11,7 @@
 from pollenbay.call import CallProgress, RouteRequest
 from pollenbay.callerfrontend import Connection, serve_requests
 from pollenbay.commands.routeentry import enter_by_route
-from pollenbay.http1 import HttpRequest, HttpResponse, end_to_end_headers
+from pollenbay.http1 import HttpRequest, HttpResponse, end_to_end_headers, header_value
 from pollenbay.ids import RequestId
 from pollenbay.node import Node
 from pollenbay.outcome import Answered, Headers, NotRun, Outcome, Unknown
@@ -21,6 +21,7 @@
     ORIGIN_HEADER,
     REQUEST_HEADER,
 )
+from pollenbay.queries.routes import may_run_beside_others
 from pollenbay.states import Reason
 from pollenbay.watch import WatchedCall
 
@@ -49,7 +50,14 @@
 
 async def serve_client(node: Node, sock: Socket) -> None:
     """Serve one connection of a client or of the local instance until it is closed."""
-    await serve_requests(node, sock, BAD_INPUT_SOURCE, respond)
+    await serve_requests(node, sock, BAD_INPUT_SOURCE, respond, may_overlap)
+
+
+def may_overlap(node: Node, request: HttpRequest) -> bool:
+    """Return whether a request may run beside the others of its connection."""
+    host = header_value(request.headers, b"host") or b""
+    path = request.target.partition(b"?")[0].decode("latin-1")
+    return may_run_beside_others(node.rulebook, node.throttle, _host_name(host), path)
 
 
 async def respond(node: Node, connection: Connection, request: HttpRequest) -> HttpResponse:
@@ -79,15 +87,20 @@
     forwarded = end_to_end_headers(request.headers, INTERNAL_HEADERS)
     return RouteRequest(
         request=RequestId(request_id.decode("latin-1")),
-        host=host.decode("latin-1").partition(":")[0].lower(),
+        host=_host_name(host),
         method=request.method.decode("latin-1"),
         path=request.target.decode("latin-1"),
         headers=[(b"host", host), *forwarded],
         body=request.body,
+        arrived_at=request.arrived_at,
         wait_s=_read_time_left_s(values.get(DEADLINE_HEADER)),
     )
 
 
+def _host_name(value: bytes) -> str:
+    return value.decode("latin-1").partition(":")[0].lower()
+
+
 def _read_time_left_s(value: bytes | None) -> float | None:
     if value is None:
         return None
--- a/src/pollenbay/queries/routes.py
+++ b/src/pollenbay/queries/routes.py
@@ -3,6 +3,7 @@
 from pollenbay.ids import ServiceName
 from pollenbay.rule import Route
 from pollenbay.rulebook import Rulebook
+from pollenbay.throttle import Throttle
 
 
 def find_route(rulebook: Rulebook, host: str, path: str) -> Route | None:
@@ -17,6 +18,21 @@
     return None
 
 
+def may_run_beside_others(rulebook: Rulebook, throttle: Throttle, host: str, path: str) -> bool:
+    """Return whether a request may run beside the others of its connection.
+
+    Those of callers may where it does no harm that one runs twice. Targets wait for the response to
+    a call before they make the next one on its connection.
+
+    :param host: without a port.
+    :param path: without a query.
+    """
+    route = find_route(rulebook, host, path)
+    if route is None or not route.idempotent:
+        return False
+    return throttle.entry_routes.get(route.name) is not False
+
+
 def choose_destination(route: Route, point: float) -> ServiceName:
     """Return the destination service at a point of the cumulative weights.
 
--- a/src/pollenbay/watch.py
+++ b/src/pollenbay/watch.py
@@ -70,10 +70,10 @@
 
 
 class Watch:
-    """All calls in progress on this node, by the file descriptor of their connection."""
+    """All calls in progress on this node, by the task that runs them."""
 
     def __init__(self) -> None:
-        self._watched: dict[int, WatchedCall] = {}
+        self._watched: dict[Task, WatchedCall] = {}
         self._idle: dict[Task, float] = {}
         self._cancelled = 0
 
@@ -87,9 +87,9 @@
         """Return the number of calls cancelled because their caller had disconnected."""
         return self._cancelled
 
-    def watching(self, watched: WatchedCall) -> ScopedEntry[int, WatchedCall]:
+    def watching(self, watched: WatchedCall) -> ScopedEntry[Task, WatchedCall]:
         """Watch a call for the length of the block."""
-        return ScopedEntry(self._watched, watched.sock.fileno(), watched)
+        return ScopedEntry(self._watched, watched.task, watched)
 
     async def run_watched(self, watched: WatchedCall, work: Awaitable[Outcome]) -> Outcome:
         """Watch a call and return its outcome, even if the node cancels it on shutdown."""
@@ -131,13 +131,18 @@
 
     async def _cancel_abandoned(self) -> None:
         poller = poll()
-        for descriptor in self._watched:
+        by_descriptor: dict[int, list[WatchedCall]] = {}
+        for watched in self._watched.values():
+            descriptor = watched.sock.fileno()
+            if descriptor < 0:
+                continue
+            by_descriptor.setdefault(descriptor, []).append(watched)
             poller.register(descriptor, CLOSED_EVENTS)
         for descriptor, _ in poller.poll(0):
-            watched = self._watched[descriptor]
-            if watched.progress.cancellable:
-                self._cancelled += 1
-                await watched.task.cancel(blocking=False)
+            for watched in by_descriptor[descriptor]:
+                if watched.progress.cancellable:
+                    self._cancelled += 1
+                    await watched.task.cancel(blocking=False)
 
     async def _cancel_overdue(self, now: float) -> None:
         for watched in list(self._watched.values()):
