Weigh level reports by age, and let leaving targets report none

The level of a service was the mean over all reporters, among them the idle nodes of targets that had left (always full), and nodes that passed on an old mean with a new time, their own too. Ruled out: the path of reports itself (replies reach every hop within 0.1 s), exposure of routes. Change: a report carries the age of the level, reports lose half of their weight in 0.2 s, a node records only its own level as its own, and one whose target serves nothing reports none.

--- a/src/pollenbay/commands/calling.py
+++ b/src/pollenbay/commands/calling.py
@@ -217,7 +217,14 @@
 
 def _record_feedback(node: Node, call: Call, member: Member, feedback: TargetFeedback) -> None:
     now = node.timer.now()
-    record_levels(node.saturation, member.instance, member.service, feedback.admission_levels, now)
+    record_levels(
+        node.saturation,
+        member.instance,
+        member.service,
+        feedback.admission_levels,
+        now,
+        feedback.level_ages_s,
+    )
     record_entry(node.throttle, call.name, feedback.is_entry_route, feedback.route_share)
     record_occupancy(node.scores, member, feedback.occupancy, feedback.limit, now)
 
--- a/src/pollenbay/commands/maintenance.py
+++ b/src/pollenbay/commands/maintenance.py
@@ -7,7 +7,7 @@
 from pollenbay.commands.routing import drop_departed_scores
 from pollenbay.commands.saturation import (
     drop_departed_reporters,
-    record_levels,
+    record_local,
     refresh_service_levels,
     update_admission_level,
 )
@@ -17,6 +17,7 @@
 from pollenbay.node import Node
 from pollenbay.queries.admission import load
 from pollenbay.queries.feedback import local_levels
+from pollenbay.queries.saturation import level_ages_s
 from pollenbay.states import NodeState, TargetState
 
 MAINTENANCE_PERIOD_S = 0.1
@@ -46,7 +47,9 @@
     instance, service = node.settings.instance, node.settings.service
     update_admission_level(node.saturation, node.gate, MAINTENANCE_PERIOD_S)
     node.origins.decay()
-    record_levels(node.saturation, instance, service, local_levels(node, now), now)
+    levels = local_levels(node, now)
+    record_local(node.saturation, instance, levels, service, now)
+    node.saturation.set_reported(levels, level_ages_s(node.saturation, service, levels, now))
     refresh_service_levels(node.saturation, now)
 
 
--- a/src/pollenbay/commands/saturation.py
+++ b/src/pollenbay/commands/saturation.py
@@ -1,5 +1,7 @@
 """Saturation and admission level of the local target, and the levels reported by other nodes."""
 
+from itertools import zip_longest
+
 from pollenbay.gate import Gate
 from pollenbay.ids import InstanceId, ServiceName
 from pollenbay.queries.admission import occupancy
@@ -39,18 +41,39 @@
     service: ServiceName,
     levels: tuple[tuple[ServiceName, float], ...],
     now: float,
+    ages_s: tuple[float, ...] = (),
 ) -> None:
     """Record the admission levels that a node reported with a reply.
 
     :param service: service of that node's local target.
+    :param ages_s: seconds since each level was measured; 0 for those that are not given.
     """
     downstream = saturation.downstream.setdefault(service, {})
-    for reported, level in levels:
-        saturation.level_reports.setdefault(reported, {})[reporter] = LevelReport(level, now)
+    for (reported, level), age_s in zip_longest(levels, ages_s[: len(levels)], fillvalue=0.0):
+        report = LevelReport(level, now - age_s)
+        saturation.level_reports.setdefault(reported, {})[reporter] = report
         if reported != service:
             downstream[reported] = now
 
 
+def record_local(
+    saturation: Saturation,
+    reporter: InstanceId,
+    levels: tuple[tuple[ServiceName, float], ...],
+    service: ServiceName,
+    now: float,
+) -> None:
+    """Record what this node itself reports: its own level, and which services are downstream.
+
+    The levels of these are not recorded again: they would weigh as if they were just measured.
+    """
+    own_level = tuple(pair for pair in levels if pair[0] == service)
+    record_levels(saturation, reporter, service, own_level, now)
+    for reported, _ in levels:
+        if reported != service:
+            saturation.downstream[service][reported] = now
+
+
 def refresh_service_levels(saturation: Saturation, now: float) -> None:
     """Recompute the levels of all reported services, which apply until the next refresh."""
     services = {*saturation.level_reports, *saturation.downstream}
--- a/src/pollenbay/linkmessage.py
+++ b/src/pollenbay/linkmessage.py
@@ -31,6 +31,7 @@
     :param limit: maximum number of calls that may run at the target at once.
     :param admission_levels: admission levels of the target's service and the services downstream of
         it; see `pollenbay.saturation`.
+    :param level_ages_s: seconds since each of these levels was measured.
     """
 
     is_entry_route: bool | None
@@ -38,6 +39,7 @@
     occupancy: Ratio
     limit: Count
     admission_levels: tuple[tuple[ServiceName, Ratio], ...]
+    level_ages_s: tuple[Seconds, ...] = ()
 
 
 class CallMessage(LinkMessage, tag=1):
--- a/src/pollenbay/queries/saturation.py
+++ b/src/pollenbay/queries/saturation.py
@@ -3,24 +3,65 @@
 from collections.abc import Iterable
 
 from pollenbay.ids import ServiceName
-from pollenbay.saturation import FULL_LEVEL, LEVEL_REPORT_VALID_S, Saturation
+from pollenbay.saturation import (
+    FULL_LEVEL,
+    LEVEL_REPORT_HALF_LIFE_S,
+    LEVEL_REPORT_VALID_S,
+    LevelReport,
+    Saturation,
+)
 
 #: Seconds for which a service stays downstream of another after the last report of it.
 DOWNSTREAM_VALID_S = 10.0
 
 
 def service_level(saturation: Saturation, service: ServiceName, now: float) -> float:
-    """Return the mean of the fresh level reports of a service; `FULL_LEVEL` if there is none.
+    """Return the mean of the level reports of a service, newer ones weighing more.
 
-    All nodes receive the same levels, so that all admit the same ratio.
+    All nodes receive the same levels, so that all admit the same ratio. `FULL_LEVEL` if there is no
+    valid report.
     """
-    reports = saturation.level_reports.get(service)
-    if not reports:
+    weighted = _weighted_reports(saturation, service, now)
+    total = sum(weight for weight, _ in weighted)
+    if not total:
         return FULL_LEVEL
-    fresh = [
-        each.level for each in reports.values() if now - each.received_at < LEVEL_REPORT_VALID_S
+    return sum(weight * report.level for weight, report in weighted) / total
+
+
+def level_age_s(saturation: Saturation, service: ServiceName, now: float) -> float:
+    """Return the mean age of what `service_level` is made of, in seconds; 0 without reports."""
+    weighted = _weighted_reports(saturation, service, now)
+    total = sum(weight for weight, _ in weighted)
+    if not total:
+        return 0.0
+    return sum(weight * (now - report.measured_at) for weight, report in weighted) / total
+
+
+def level_ages_s(
+    saturation: Saturation,
+    local: ServiceName,
+    levels: tuple[tuple[ServiceName, float], ...],
+    now: float,
+) -> tuple[float, ...]:
+    """Return the age of each level that a node reports, in seconds.
+
+    :param local: service of the local target, whose level has just been measured.
+    """
+    return tuple(
+        0.0 if service == local else round(level_age_s(saturation, service, now), 2)
+        for service, _ in levels
+    )
+
+
+def _weighted_reports(
+    saturation: Saturation, service: ServiceName, now: float
+) -> list[tuple[float, LevelReport]]:
+    reports = saturation.level_reports.get(service, {}).values()
+    return [
+        (0.5 ** ((now - report.measured_at) / LEVEL_REPORT_HALF_LIFE_S), report)
+        for report in reports
+        if now - report.measured_at < LEVEL_REPORT_VALID_S
     ]
-    return sum(fresh) / len(fresh) if fresh else FULL_LEVEL
 
 
 def reported_downstream(
--- a/src/pollenbay/saturation.py
+++ b/src/pollenbay/saturation.py
@@ -15,6 +15,9 @@
 FULL_LEVEL = float(len(CallClass))
 #: Seconds for which a level report is valid.
 LEVEL_REPORT_VALID_S = 2.0
+#: Age by which a level report loses half of its weight, so that those which have passed several
+#: nodes do not hide a change.
+LEVEL_REPORT_HALF_LIFE_S = 0.2
 
 
 @dataclass(slots=True)
@@ -22,11 +25,12 @@
     """Admission level of a service as reported by one node.
 
     :param level: from 0 to `FULL_LEVEL`.
-    :param received_at: monotonic seconds at which the report was received.
+    :param measured_at: monotonic seconds, on this node's clock, at which the level was measured; it
+        may have passed several nodes since.
     """
 
     level: float
-    received_at: float
+    measured_at: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,6 +56,8 @@
         self._level_reports: dict[ServiceName, dict[InstanceId, LevelReport]] = {}
         self._downstream: dict[ServiceName, dict[ServiceName, float]] = {}
         self._service_levels: dict[ServiceName, ServiceLevels] = {}
+        self._reported_levels: tuple[tuple[ServiceName, float], ...] = ()
+        self._reported_ages_s: tuple[float, ...] = ()
 
     @property
     def value(self) -> float:
@@ -78,6 +84,16 @@
         """Return the levels of each reported service, as of the last refresh."""
         return self._service_levels
 
+    @property
+    def reported_levels(self) -> tuple[tuple[ServiceName, float], ...]:
+        """Return the levels that this node reports with its replies."""
+        return self._reported_levels
+
+    @property
+    def reported_ages_s(self) -> tuple[float, ...]:
+        """Return the seconds since each of these levels was measured."""
+        return self._reported_ages_s
+
     def record_arrival(self) -> None:
         """Count a call that arrived at the local target."""
         self._arrivals += 1
@@ -92,6 +108,13 @@
         self._arrivals = self._refusals = 0
         return ratio
 
+    def set_reported(
+        self, levels: tuple[tuple[ServiceName, float], ...], ages_s: tuple[float, ...]
+    ) -> None:
+        """Replace the levels that this node reports."""
+        self._reported_levels = levels
+        self._reported_ages_s = ages_s
+
     def set_local(self, value: float, level: float) -> None:
         """Replace the saturation and the admission level of the local target."""
         self._value = value
--- a/tests/test_saturation.py
+++ b/tests/test_saturation.py
@@ -1,5 +1,7 @@
 """Tests of admission levels: they follow a target's saturation and propagate with responses."""
 
+from types import SimpleNamespace
+
 from pytest import approx
 
 from pollenbay.arrival import Arrival
@@ -7,13 +9,20 @@
 from pollenbay.commands.saturation import (
     drop_departed_reporters,
     record_levels,
+    record_local,
     update_admission_level,
 )
 from pollenbay.gate import Gate, make_gate
 from pollenbay.ids import CallerId, InstanceId, ServiceName
-from pollenbay.queries.saturation import levels_to_report, reported_downstream, service_level
+from pollenbay.queries.feedback import local_levels
+from pollenbay.queries.saturation import (
+    level_age_s,
+    levels_to_report,
+    reported_downstream,
+    service_level,
+)
 from pollenbay.saturation import FULL_LEVEL, LEVEL_REPORT_VALID_S, Saturation, make_saturation
-from pollenbay.states import CallClass
+from pollenbay.states import CallClass, TargetState
 
 PERIOD_S = 0.1
 A, B, C = ServiceName("a"), ServiceName("b"), ServiceName("c")
@@ -69,6 +78,43 @@
         record_levels(saturation, TWO, A, ((A, 3.0),), 0.0)
         assert service_level(saturation, A, 0.1) == approx(2.0)
 
+    def test_newer_reports_outweigh_older_ones(self) -> None:
+        saturation = make_saturation()
+        stale = [InstanceId(f"stale-{number}") for number in range(9)]
+        for reporter in stale:
+            record_levels(saturation, reporter, A, ((A, 3.0),), 0.0)
+        record_levels(saturation, ONE, A, ((A, 0.0),), 1.0)
+        assert service_level(saturation, A, 1.0) < 0.75
+
+    def test_age_is_passed_on_with_the_level(self) -> None:
+        middle, entry = make_saturation(), make_saturation()
+        record_levels(middle, ONE, B, ((C, 0.5),), 0.0, (0.3,))
+        age_s = level_age_s(middle, C, 0.4)
+        assert age_s == approx(0.7)
+        record_levels(entry, TWO, A, ((C, 0.5),), 5.0, (age_s,))
+        assert level_age_s(entry, C, 5.0) == approx(0.7)
+
+    def test_target_that_serves_nothing_reports_no_level(self) -> None:
+        node = SimpleNamespace(
+            saturation=make_saturation(),
+            settings=SimpleNamespace(service=A),
+            target=SimpleNamespace(state=TargetState.SERVING),
+            downstream_called_at={B: 0.0},
+        )
+        assert [service for service, _ in local_levels(node, 1.0)] == [A, B]
+        for state in (TargetState.LEAVING, TargetState.ABSENT):
+            node.target.state = state
+            assert [service for service, _ in local_levels(node, 1.0)] == [B]
+
+    def test_own_report_does_not_renew_the_levels_of_others(self) -> None:
+        saturation = make_saturation()
+        record_levels(saturation, ONE, B, ((B, 1.0),), 0.0)
+        for tick in range(1, 40):
+            now = tick * PERIOD_S
+            record_local(saturation, TWO, levels_to_report(saturation, A, [B], now), A, now)
+        assert service_level(saturation, B, now) == FULL_LEVEL
+        assert reported_downstream(saturation, A, now) == [B]
+
     def test_expired_level_reports_are_ignored(self) -> None:
         saturation = make_saturation()
         record_levels(saturation, ONE, A, ((A, 1.0),), 0.0)
