Settle admission faster after a surge, and repeat failures where they happen

Cause: after a surge the admission level rose by at most 0.4 a second, near the set point far less, so lookups were held back for some ten seconds beside free slots; a refusal counted twice and the level fell by up to 3 a second while requests admitted before still ran. An instance's own 500 of an idempotent call was never repeated, and fails the whole request above it. Returning requests first: with one repeat each it changes who is refused twice, not how many. Change: set point 1.15 (a short queue), gain 1.5, bounds -1 and 0.8, refusals counted once. A 500 of an idempotent call is repeated within the budget unless a service below lacks capacity.

--- a/src/pollenbay/commands/calling.py
+++ b/src/pollenbay/commands/calling.py
@@ -38,6 +38,7 @@
 from pollenbay.queries.downstream import refuse_at_entry
 from pollenbay.queries.retry import is_retriable, outcome_to_report
 from pollenbay.queries.rules import find_call
+from pollenbay.queries.saturation import fails_on_its_own
 from pollenbay.score import AttemptResult
 from pollenbay.states import Reason
 from pollenbay.view import Member
@@ -89,7 +90,8 @@
         node.metrics.record_attempt(call.call_class, retries > 0)
         outcome = await _attempt(node, call, account, progress, member)
         reported = outcome_to_report(outcome, reported)
-        if not is_retriable(outcome, call) or not _has_time(node, call):
+        repeats_failure = fails_on_its_own(node.saturation, call.service)
+        if not is_retriable(outcome, call, repeats_failure) or not _has_time(node, call):
             return reported
         if not spend_next_attempt(outcome, account, budget, call.call_class, node.timer.now()):
             return reported
--- a/src/pollenbay/commands/saturation.py
+++ b/src/pollenbay/commands/saturation.py
@@ -12,15 +12,16 @@
 #: of a second.
 SAMPLE_WEIGHT = 0.35
 #: Weight of the rejected ratio relative to occupancy; rejected work is lost upstream too.
-REFUSED_WEIGHT = 2.0
-#: Saturation to maintain: as many calls running or queued as may run.
-SATURATION_SETPOINT = 1.0
+REFUSED_WEIGHT = 1.0
+#: Saturation to maintain: all slots occupied and a short queue, so that none falls idle.
+SATURATION_SETPOINT = 1.15
 #: Change of the admission level per second for each unit of deviation from the set point. A
 #: change takes about half a second to take effect, so a faster control loop would oscillate.
-GAIN_PER_S = 1.0
-#: Bounds to which the deviation from the set point is clamped.
-DEVIATION_MIN = -3.0
-DEVIATION_MAX = 0.4
+GAIN_PER_S = 1.5
+#: Bounds to which the deviation from the set point is clamped. Requests that were admitted before
+#: keep a target full for about a second, during which the level must not fall too far.
+DEVIATION_MIN = -1.0
+DEVIATION_MAX = 0.8
 
 
 def update_admission_level(saturation: Saturation, gate: Gate, period_s: float) -> None:
--- a/src/pollenbay/queries/retry.py
+++ b/src/pollenbay/queries/retry.py
@@ -3,7 +3,7 @@
 from functools import singledispatch
 from typing import Protocol
 
-from pollenbay.outcome import Answered, NotRun, Outcome, Unknown
+from pollenbay.outcome import STATUS_SERVER_ERROR, Answered, NotRun, Outcome, Unknown
 from pollenbay.states import Reason
 
 RETRIABLE_STATUSES = frozenset({502, 503, 504})
@@ -29,23 +29,30 @@
 
 
 @singledispatch
-def is_retriable(outcome: Outcome, rule: Repeatable) -> bool:
-    """Return whether another attempt is allowed and may succeed."""
+def is_retriable(outcome: Outcome, rule: Repeatable, may_repeat_failure: bool = False) -> bool:
+    """Return whether another attempt is allowed and may succeed.
+
+    :param may_repeat_failure: whether a failure of the target is its own, and not that of a call
+        that it made. Such a call was repeated where it failed; to run its parent again would repeat
+        all its other calls too.
+    """
     raise TypeError(f"unsupported outcome type: {type(outcome).__name__}")
 
 
 @is_retriable.register
-def _(outcome: Answered, rule: Repeatable) -> bool:
+def _(outcome: Answered, rule: Repeatable, may_repeat_failure: bool = False) -> bool:
+    if may_repeat_failure and outcome.status == STATUS_SERVER_ERROR:
+        return rule.idempotent
     return rule.idempotent and outcome.status in RETRIABLE_STATUSES
 
 
 @is_retriable.register
-def _(outcome: NotRun, rule: Repeatable) -> bool:
+def _(outcome: NotRun, rule: Repeatable, may_repeat_failure: bool = False) -> bool:
     return outcome.reason in RETRIABLE_REFUSALS
 
 
 @is_retriable.register
-def _(outcome: Unknown, rule: Repeatable) -> bool:
+def _(outcome: Unknown, rule: Repeatable, may_repeat_failure: bool = False) -> bool:
     return rule.idempotent
 
 
--- a/src/pollenbay/queries/saturation.py
+++ b/src/pollenbay/queries/saturation.py
@@ -82,6 +82,15 @@
     return min((service_level(saturation, each, now) for each in downstream), default=FULL_LEVEL)
 
 
+def fails_on_its_own(saturation: Saturation, service: ServiceName) -> bool:
+    """Return whether a failure of a target of a service is its own, as far as is known.
+
+    It is unless a service that its targets call lacks capacity, directly or not.
+    """
+    levels = saturation.service_levels.get(service)
+    return levels is None or levels.downstream >= FULL_LEVEL
+
+
 def levels_to_report(
     saturation: Saturation, local: ServiceName, called_services: Iterable[ServiceName], now: float
 ) -> tuple[tuple[ServiceName, float], ...]:
--- a/tests/chain_replay.py
+++ b/tests/chain_replay.py
@@ -5,6 +5,7 @@
 deterministic.
 """
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from heapq import heappop, heappush
 from itertools import count
@@ -78,17 +79,32 @@
     waiters: dict[int, Waiter] = field(default_factory=dict)
 
 
+def _no_surge(now: float) -> float:
+    return 1.0
+
+
 class Replay:
     """One run of the simulation.
 
     :param speeds: relative speeds of the targets of the deep service.
     :param throttled: whether the entry throttles requests; otherwise only the gates refuse calls.
+    :param surge: factor on the rates of all requests at a time in seconds.
+    :param lost_at_s: time at which the last target stops taking calls; None to keep it.
     """
 
     def __init__(
-        self, kinds: list[RequestKind], speeds: list[float], slots: int, throttled: bool, seed: int
+        self,
+        kinds: list[RequestKind],
+        speeds: list[float],
+        slots: int,
+        throttled: bool,
+        seed: int,
+        surge: Callable[[float], float] = _no_surge,
+        lost_at_s: float | None = None,
     ) -> None:
         self._kinds = kinds
+        self._surge = surge
+        self._lost_at_s = lost_at_s
         self._throttled = throttled
         self._rng = Random(seed)
         self._targets = [
@@ -122,7 +138,8 @@
         heappush(self._events, (self._now + delay_s, next(self._sequence), action, arguments))
 
     def _arrive(self, kind: RequestKind) -> None:
-        self._schedule(self._rng.expovariate(kind.rate_per_s), self._arrive, kind)
+        rate_per_s = kind.rate_per_s * self._surge(self._now)
+        self._schedule(self._rng.expovariate(rate_per_s), self._arrive, kind)
         tally = self.tallies[kind.name]
         tally.offered += int(self._is_measured)
         if self._throttled and self._rng.random() >= self._admission_ratio(kind):
@@ -200,6 +217,9 @@
 
     def _sample(self) -> None:
         self._schedule(MEASURE_PERIOD_S, self._sample)
+        if self._lost_at_s is not None and self._now >= self._lost_at_s:
+            self._lost_at_s = None
+            self._targets.pop()
         for number, target in enumerate(self._targets):
             self._handle_decisions(expire(target.gate, self._now))
             update_admission_level(target.saturation, target.gate, MEASURE_PERIOD_S)
--- a/tests/test_outcomes.py
+++ b/tests/test_outcomes.py
@@ -63,6 +63,9 @@
         assert is_retriable(Unknown(Reason.CONNECTION_LOST), make_rule(True))
         assert is_retriable(Answered(503, [], b""), make_rule(True))
         assert not is_retriable(Answered(500, [], b""), make_rule(True))
+        assert is_retriable(Answered(500, [], b""), make_rule(True), may_repeat_failure=True)
+        assert not is_retriable(Answered(500, [], b""), make_rule(False), may_repeat_failure=True)
+        assert not is_retriable(Answered(404, [], b""), make_rule(True), may_repeat_failure=True)
 
     def test_caller_share_and_deadline_refusals_are_final(self) -> None:
         assert not is_retriable(NotRun(Reason.CALLER_SHARE), make_rule(True))
--- a/tests/test_saturation.py
+++ b/tests/test_saturation.py
@@ -10,12 +10,14 @@
     drop_departed_reporters,
     record_levels,
     record_local,
+    refresh_service_levels,
     update_admission_level,
 )
 from pollenbay.gate import Gate, make_gate
 from pollenbay.ids import CallerId, InstanceId, ServiceName
 from pollenbay.queries.feedback import local_levels
 from pollenbay.queries.saturation import (
+    fails_on_its_own,
     level_age_s,
     levels_to_report,
     reported_downstream,
@@ -115,6 +117,14 @@
         assert service_level(saturation, B, now) == FULL_LEVEL
         assert reported_downstream(saturation, A, now) == [B]
 
+    def test_failure_is_that_of_the_target_unless_a_service_below_lacks_capacity(self) -> None:
+        saturation = make_saturation()
+        assert fails_on_its_own(saturation, A)
+        for level, expected in ((FULL_LEVEL, True), (2.9, False)):
+            record_levels(saturation, ONE, A, ((A, 0.0), (B, level)), 0.0)
+            refresh_service_levels(saturation, 0.0)
+            assert fails_on_its_own(saturation, A) is expected
+
     def test_expired_level_reports_are_ignored(self) -> None:
         saturation = make_saturation()
         record_levels(saturation, ONE, A, ((A, 1.0),), 0.0)
--- a/tests/test_throttle.py
+++ b/tests/test_throttle.py
@@ -81,6 +81,50 @@
         assert failed < 0.05 * completed
 
 
+class TestSurge:
+    """A surge that begins at the moment when the service loses an instance."""
+
+    STARTS_S, ENDS_S, RUN_S = 10.0, 18.0, 30.0
+    SPEEDS = [0.6, 1.0, 1.4]
+    SLOTS, USED_SLOTS = 30, 28
+    KINDS = [
+        RequestKind("lookup", CallClass.SHEDDABLE, 170.0, 4, 0.040, 0.21, 1.0, 1.0),
+        RequestKind("booking", CallClass.CRITICAL, 77.0, 4, 0.040, 0.27, 1.2, 3.0),
+        RequestKind("confirm", CallClass.SHEDDABLE, 26.0, 1, 0.130, 0.0, 0.8, 1.0),
+    ]
+
+    def replay(self, factor: float, from_s: float, seed: int) -> float:
+        """Return the value of requests that arrived later, as a ratio of the highest possible."""
+        replay = Replay(
+            self.KINDS,
+            self.SPEEDS,
+            self.SLOTS,
+            True,
+            seed,
+            lambda now: factor if self.STARTS_S <= now < self.ENDS_S else 1.0,
+            self.STARTS_S,
+        )
+        until_s = self.ENDS_S if from_s < self.ENDS_S else self.RUN_S
+        tallies = replay.run(until_s + 2.0, from_s)
+        capacity_s = (until_s - from_s) * self.USED_SLOTS * sum(self.SPEEDS[:2])
+        best = highest_value(self.KINDS, capacity_s, tallies)
+        return total_value(self.KINDS, tallies) / best
+
+    def mean_ratio(self, factor: float, from_s: float) -> float:
+        """Return the mean over several seeds, since one replay is only some seconds long."""
+        return sum(self.replay(factor, from_s, seed) for seed in (1, 2, 3)) / 3
+
+    @mark.parametrize("factor", [1.4, 1.7])
+    def test_value_is_close_to_the_highest_possible_soon_after_the_start(
+        self, factor: float
+    ) -> None:
+        assert self.mean_ratio(factor, self.STARTS_S + SETTLED_S) >= VALUE_RATIO_MIN
+
+    @mark.parametrize("factor", [1.4, 1.7])
+    def test_value_is_close_to_the_highest_possible_soon_after_the_end(self, factor: float) -> None:
+        assert self.mean_ratio(factor, self.ENDS_S + SETTLED_S) >= VALUE_RATIO_MIN
+
+
 class TestAdmissionRatio:
     """The ratio of a route's requests that is admitted."""
 
