Send a refused call only to targets that may have room

Cause: a call that a full target refused was sent twice more at no cost, also when all others were full, or to the same target if it was the only one left. Each refusal counts in the admission level, which then falls too far. Change: after a refusal for load a call is repeated only if a target that was not tried has reported a free slot in the last half second, or nothing.

--- a/src/pollenbay/commands/calling.py
+++ b/src/pollenbay/commands/calling.py
@@ -36,7 +36,8 @@
 from pollenbay.node import Node
 from pollenbay.outcome import NotRun, Outcome, Unknown, is_successful
 from pollenbay.queries.downstream import refuse_at_entry
-from pollenbay.queries.retry import is_retriable, outcome_to_report
+from pollenbay.queries.retry import is_refused_for_load, is_retriable, outcome_to_report
+from pollenbay.queries.routing import may_have_room
 from pollenbay.queries.rules import find_call
 from pollenbay.queries.saturation import fails_on_its_own
 from pollenbay.score import AttemptResult
@@ -93,9 +94,11 @@
         repeats_failure = fails_on_its_own(node.saturation, call.service)
         if not is_retriable(outcome, call, repeats_failure) or not _has_time(node, call):
             return reported
+        excluded = excluded | {member.instance}
+        if is_refused_for_load(outcome) and not _may_have_room(node, call, excluded):
+            return reported
         if not spend_next_attempt(outcome, account, budget, call.call_class, node.timer.now()):
             return reported
-        excluded = excluded | {member.instance}
         await sleep(_backoff_s(node, retries))
         retries += 1
 
@@ -127,6 +130,10 @@
     )
 
 
+def _may_have_room(node: Node, call: Call, tried: frozenset[InstanceId]) -> bool:
+    return may_have_room(node.view, node.scores, call.service, tried, node.timer.now())
+
+
 def _has_time(node: Node, call: Call) -> bool:
     return call.deadline - node.timer.now() > RETURN_MARGIN_S
 
--- a/src/pollenbay/queries/retry.py
+++ b/src/pollenbay/queries/retry.py
@@ -20,6 +20,10 @@
 )
 
 
+#: Refusals of a target that was full, among those that another target may not repeat.
+LOAD_REFUSALS = frozenset({Reason.OVERLOAD, Reason.QUEUE_TIMEOUT})
+
+
 class Repeatable(Protocol):
     """The interface of a rule or a call that the retry decision needs."""
 
@@ -56,6 +60,11 @@
     return rule.idempotent
 
 
+def is_refused_for_load(outcome: Outcome) -> bool:
+    """Return whether a target had no capacity for a call."""
+    return isinstance(outcome, NotRun) and outcome.reason in LOAD_REFUSALS
+
+
 @singledispatch
 def outcome_to_report(last: Outcome, earlier: Outcome | None) -> Outcome:
     """Return the outcome to report for a call after its last attempt.
--- a/src/pollenbay/queries/routing.py
+++ b/src/pollenbay/queries/routing.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from pollenbay.ids import InstanceId
+from pollenbay.ids import InstanceId, ServiceName
 from pollenbay.score import Candidates, OccupancyReport, Score, Scores
 from pollenbay.states import MemberState
 from pollenbay.view import Member, View
@@ -22,6 +22,8 @@
 REPORT_VALID_S = 3.0
 #: Seconds for which an occupancy reported with a reply is used.
 OCCUPANCY_VALID_S = 0.5
+#: Occupancy from which a target has no free slot.
+FULL_OCCUPANCY = 1.0
 #: Up to this occupancy a target is selected by latency alone, so that fast ones fill first.
 UNCONGESTED_RATIO = 0.85
 #: Cost added, in multiples of the latency, per unit of occupancy above `UNCONGESTED_RATIO`.
@@ -73,6 +75,35 @@
     return measured_cost * _report_factor(member, now)
 
 
+def may_have_room(
+    view: View, scores: Scores, service: ServiceName, tried: frozenset[InstanceId], now: float
+) -> bool:
+    """Return whether a target that was not tried may have a free slot, as far as is known.
+
+    Covers the load pattern in which all targets of a service are full: a refused call that is sent
+    to each of them in turn takes no slot and multiplies the arrivals that all of them refuse.
+    """
+    return any(
+        member.state is MemberState.SERVING
+        and member.instance not in tried
+        and _may_have_slot(scores.scores.get(member.instance), member, now)
+        for member in view.members_of(service)
+    )
+
+
+def _may_have_slot(score: Score | None, member: Member, now: float) -> bool:
+    if score is None or score.incarnation != member.incarnation or score.occupancy is None:
+        return True
+    if now - score.occupancy.received_at >= OCCUPANCY_VALID_S:
+        return True
+    return _current_occupancy(score, score.occupancy) < FULL_OCCUPANCY
+
+
+def _current_occupancy(score: Score, report: OccupancyReport) -> float:
+    """Return a reported occupancy, corrected by the calls sent since the report."""
+    return report.occupancy + (score.outstanding - report.outstanding) / max(report.limit, 1)
+
+
 def congestion_factor(occupancy: float) -> float:
     """Return the factor by which a target costs more than an idle one.
 
@@ -87,9 +118,7 @@
 def _reported_cost(
     member: Member, score: Score, report: OccupancyReport, typical_s: float, now: float
 ) -> float:
-    # The reported occupancy is corrected by the calls sent since the report.
-    sent_since = score.outstanding - report.outstanding
-    occupancy = report.occupancy + sent_since / max(report.limit, 1)
+    occupancy = _current_occupancy(score, report)
     latency_s = score.latency_s or typical_s
     success = max(score.success_ratio, MIN_RATIO) * max(1.0 - score.refused_ratio, MIN_RATIO)
     return latency_s * congestion_factor(occupancy) / (success * _slow_start_factor(member, now))
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -12,11 +12,13 @@
 import subprocess
 import sys
 import time
-from collections.abc import Callable
-from contextlib import contextmanager
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass, field
 from http.client import HTTPConnection, HTTPException, HTTPResponse
+from itertools import count
 from pathlib import Path
+from random import Random
 from select import select
 from socket import socket
 from typing import Any, TypeVar
@@ -28,6 +30,7 @@
 EXIT_WITHIN_S = 20.0
 RESPONSE_WITHIN_S = 10.0
 POLL_S = 0.05
+PORTS = range(10_000, 30_000)
 SOURCE = Path(__file__).resolve().parent.parent / "src"
 
 T = TypeVar("T")
@@ -288,8 +291,24 @@
         time.sleep(POLL_S)
 
 
+def _candidate_ports() -> Iterator[int]:
+    """Yield ports in turn, starting at a place that differs between processes."""
+    start = Random(os.getpid()).randrange(len(PORTS))
+    for offset in count(start):
+        yield PORTS[offset % len(PORTS)]
+
+
+_CANDIDATE_PORTS = _candidate_ports()
+
+
 def free_port() -> int:
-    """Return a port that was just free; prefer port 0 for processes that report their port."""
-    with socket() as sock:
-        sock.bind((ADDRESS, 0))
-        return sock.getsockname()[1]
+    """Return a port that was just free; prefer port 0 for processes that report their port.
+
+    It lies outside the range from which the kernel takes the ports of outgoing connections, one of
+    which could take it before it is used.
+    """
+    for port in _CANDIDATE_PORTS:
+        with socket() as sock, suppress(OSError):
+            sock.bind((ADDRESS, port))
+            return port
+    raise HarnessError("no free port")
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -15,9 +15,10 @@
     drop_departed_scores,
     end_attempt,
     pick,
+    record_occupancy,
 )
 from pollenbay.ids import HostId, Incarnation, InstanceId, RegionId, ServiceName, ZoneId
-from pollenbay.queries.routing import SLOW_START_S
+from pollenbay.queries.routing import OCCUPANCY_VALID_S, SLOW_START_S, may_have_room
 from pollenbay.score import AttemptResult, Scores, make_scores
 from pollenbay.states import MemberState
 from pollenbay.view import Endpoints, Location, Member, View, make_view
@@ -341,3 +342,50 @@
         cluster.view.remove(InstanceId("stock-1"))
         drop_departed_scores(cluster.scores, cluster.view)
         assert InstanceId("stock-1") not in cluster.scores.scores
+
+
+class TestRoomElsewhere:
+    """Whether a call that one target refused for lack of capacity is worth sending to another."""
+
+    @staticmethod
+    def may_have_room(cluster: SimulatedCluster, *tried: int) -> bool:
+        instances = frozenset(cluster.member(index).instance for index in tried)
+        return may_have_room(cluster.view, cluster.scores, SERVICE, instances, cluster.now)
+
+    @staticmethod
+    def make_full(cluster: SimulatedCluster, *indexes: int, occupancy: float = 1.2) -> None:
+        for index in indexes:
+            member = cluster.member(index)
+            record_occupancy(cluster.scores, member, occupancy, 10, cluster.now)
+
+    def test_all_other_targets_are_full(self) -> None:
+        cluster = SimulatedCluster(3)
+        self.make_full(cluster, 0, 1, 2)
+        assert not self.may_have_room(cluster, 0)
+
+    def test_another_target_has_a_free_slot(self) -> None:
+        cluster = SimulatedCluster(3)
+        self.make_full(cluster, 0, 1)
+        self.make_full(cluster, 2, occupancy=0.9)
+        assert self.may_have_room(cluster, 0)
+        assert not self.may_have_room(cluster, 0, 2)
+
+    def test_target_without_a_fresh_report_may_have_a_free_slot(self) -> None:
+        cluster = SimulatedCluster(2)
+        self.make_full(cluster, 0)
+        assert self.may_have_room(cluster, 0)
+        self.make_full(cluster, 1)
+        assert not self.may_have_room(cluster, 0)
+        cluster.now += OCCUPANCY_VALID_S
+        assert self.may_have_room(cluster, 0)
+
+    def test_calls_sent_since_the_report_take_slots(self) -> None:
+        cluster = SimulatedCluster(2)
+        self.make_full(cluster, 1, occupancy=0.9)
+        begin_attempt(cluster.scores, cluster.member(1), cluster.now)
+        assert not self.may_have_room(cluster, 0)
+
+    def test_leaving_target_has_no_room(self) -> None:
+        cluster = SimulatedCluster(1)
+        cluster.put("stock-1", state=MemberState.LEAVING)
+        assert not self.may_have_room(cluster, 0)
