--- a/review/common.py
+++ b/review/common.py
@@ -45,7 +45,7 @@
 }
 
 
-class CouldNotRun(Exception):
+class CouldNotRunError(Exception):
     """The deployment did not start, so nothing was shown."""
 
 
@@ -300,7 +300,8 @@
 
     def _free_ip(self):
         while True:
-            ip = f"127.{random.randrange(10, 250)}.{random.randrange(250)}.{random.randrange(2, 250)}"
+            parts = [random.randrange(2, 250) for _ in range(3)]
+            ip = ".".join(str(each) for each in (127, *parts))
             if ip not in Machine._taken:
                 Machine._taken.add(ip)
                 return ip
@@ -521,7 +522,7 @@
     ends_at = time.monotonic() + limit_s
     while not await check():
         if time.monotonic() > ends_at:
-            raise CouldNotRun(f"waited {limit_s} s for {what}")
+            raise CouldNotRunError(f"waited {limit_s} s for {what}")
         await asyncio.sleep(0.05)
 
 
@@ -548,7 +549,7 @@
     code = COULD_NOT_RUN
     try:
         code = BROKEN if asyncio.run(limited()) else HELD
-    except (CouldNotRun, TimeoutError) as error:
+    except (CouldNotRunError, TimeoutError) as error:
         trial.record.write(f"could not run: {error}")
     finally:
         for process in trial.processes:
