--- a/review/common.py
+++ b/review/common.py
@@ -549,8 +549,8 @@
     code = COULD_NOT_RUN
     try:
         code = BROKEN if asyncio.run(limited()) else HELD
-    except (CouldNotRunError, TimeoutError) as error:
-        trial.record.write(f"could not run: {error}")
+    except Exception as error:
+        trial.record.write(f"could not run: {type(error).__name__}: {error}")
     finally:
         for process in trial.processes:
             if process.poll() is None:
