--- a/src/pollenbay/ids.py
+++ b/src/pollenbay/ids.py
@@ -35,6 +35,9 @@
 RowKey = NewType("RowKey", str)
 #: Version of one row of the table; 0 means that the row is absent.
 RowVersion = NewType("RowVersion", int)
+#: Number of times that the table has come back from an older copy of its rows, after which row
+#: versions are given out again.
+TableGeneration = NewType("TableGeneration", int)
 Digest = NewType("Digest", str)
 
 
--- a/src/pollenbay/node.py
+++ b/src/pollenbay/node.py
@@ -133,6 +133,7 @@
         "pollenbay_gossip": node.membership.gossip.counts,
         "pollenbay_traffic": node.membership.traffic,
         "pollenbay_table": node.table.bad_rows,
+        "pollenbay_table_service": node.table.counts,
     }
     for prefix, source in sources.items():
         node.metrics.add_counters(prefix, source, _integer_names(source))
--- a/src/pollenbay/platform/names.py
+++ b/src/pollenbay/platform/names.py
@@ -15,6 +15,9 @@
 READY_PATH = b"/ready"
 INSTANCES_PATH = "/instances/"
 
+#: Number in each response of the store that rises when the store comes back from an older copy.
+GENERATION_HEADER = b"store-era"
+
 OPERATOR_TABLE = "op"
 CONFIG_KEY = "config"
 
--- a/src/pollenbay/platform/store.py
+++ b/src/pollenbay/platform/store.py
@@ -10,10 +10,10 @@
 
 from pollenbay.badrows import BadRows
 from pollenbay.commands.rulesync import JITTER_FACTORS, adopt_rules
-from pollenbay.http1 import HttpRequest, HttpResponse
-from pollenbay.ids import RowKey, RowVersion
+from pollenbay.http1 import HttpRequest, HttpResponse, header_value
+from pollenbay.ids import RowKey, RowVersion, TableGeneration
 from pollenbay.membership import Membership
-from pollenbay.platform.names import CONFIG_KEY, OPERATOR_TABLE
+from pollenbay.platform.names import CONFIG_KEY, GENERATION_HEADER, OPERATOR_TABLE
 from pollenbay.platform.rules import parse_config
 from pollenbay.platform.settings import Endpoint
 from pollenbay.ranges import KnownRowVersion
@@ -29,6 +29,8 @@
 )
 
 STATUS_CHECK_FAILED = 412
+#: Longest number that is accepted as a generation.
+GENERATION_DIGITS_MAX = 18
 #: Time-out of a read or a write.
 STORE_TIMEOUT_S = 1.5
 #: Range of the time for which the store is asked to hold a feed request. A lost feed request delays
@@ -126,6 +128,13 @@
         """Return whether a response to a write reports a failed check."""
         return response.status == STATUS_CHECK_FAILED
 
+    def generation(self, response: HttpResponse) -> TableGeneration | None:
+        """Return the generation in which a response was made; None if it does not state one."""
+        value = header_value(response.headers, GENERATION_HEADER) or b""
+        if not value.isdigit() or len(value) > GENERATION_DIGITS_MAX:
+            return None
+        return TableGeneration(int(value))
+
 
 def make_store_table(endpoint: Endpoint) -> Table:
     """Return a table client for the store."""
@@ -137,17 +146,28 @@
     retry_timer = membership.timer.subscribe(FEED_RETRY_PERIOD_S)
     after: int | None = None
     reached = True
+    reached_at = membership.timer.now()
     while True:
         result = await _next_rows(membership.table, after, _feed_wait_s(membership))
         membership.rules_table_queried = True
         if result.is_ok() != reached:
             reached = result.is_ok()
-            LOG.warning("store", extra={"reached": reached, "error": str(result.err())})
+            fields = {
+                "reached": reached,
+                "error": str(result.err()),
+                "after": after,
+                "reached_s_ago": round(membership.timer.now() - reached_at, 3),
+                "generation": membership.table.generation,
+            }
+            LOG.warning("store", extra=fields)
         if isinstance(result, Err):
             after = None
             await retry_timer.wait()
             continue
+        reached_at = membership.timer.now()
         found = result.ok_value
+        if after is not None and found.ver < after:
+            LOG.warning("feed went back", extra={"after": after, "version": found.ver})
         rows = read_rows(found.rows, _StoreRow, membership.table.bad_rows)
         await _adopt_newest(membership, rows)
         after = found.ver
--- a/src/pollenbay/table.py
+++ b/src/pollenbay/table.py
@@ -4,6 +4,7 @@
 and ``GET /table/rows`` read.
 """
 
+from logging import getLogger
 from typing import Protocol, TypeVar
 from urllib.parse import quote
 
@@ -16,7 +17,7 @@
 from pollenbay.codec import CodecError, decode_each, decode_json
 from pollenbay.http1 import HttpConnectError, HttpError, HttpRequest, HttpResponse
 from pollenbay.httpclient import HttpClient, connect_http
-from pollenbay.ids import RowKey, RowVersion
+from pollenbay.ids import RowKey, RowVersion, TableGeneration
 from pollenbay.ranges import KnownRowVersion
 
 TABLE_TIMEOUT_S = 2.0
@@ -26,6 +27,8 @@
 STATUS_OK = 200
 STATUS_CONFLICT = 409
 
+LOG = getLogger("pollenbay.table")
+
 
 class TableError(Exception):
     """Base class of the errors of this module."""
@@ -84,6 +87,19 @@
     rows: list[Raw]
 
 
+class TableCounts(Struct):
+    """Counters of the calls to a table service.
+
+    :param calls: calls made.
+    :param timeouts: calls whose response did not arrive in time.
+    :param restorations: changes of the generation.
+    """
+
+    calls: int = 0
+    timeouts: int = 0
+    restorations: int = 0
+
+
 class TableEncoding(Protocol):
     """HTTP encoding of requests to a table service and decoding of its responses."""
 
@@ -107,6 +123,9 @@
     def is_conflict(self, response: HttpResponse) -> bool:
         """Return whether a response to a write reports a failed check."""
 
+    def generation(self, response: HttpResponse) -> TableGeneration | None:
+        """Return the generation in which a response was made; None if it does not state one."""
+
 
 class PlainEncoding:
     """Encoding of this project's own table interface."""
@@ -134,6 +153,10 @@
         """Return whether a response to a write reports a failed check."""
         return response.status == STATUS_CONFLICT
 
+    def generation(self, response: HttpResponse) -> TableGeneration | None:
+        """Return None, since this service never loses a write."""
+        return None
+
 
 class Table:
     """Client of a table service that reuses up to `IDLE_CONNECTIONS_MAX` idle connections.
@@ -150,12 +173,24 @@
         self._encoding = encoding
         self._idle: list[HttpClient] = []
         self._bad_rows = make_bad_rows()
+        self._counts = TableCounts()
+        self._generation: TableGeneration | None = None
 
     @property
     def bad_rows(self) -> BadRows:
         """Return the record of rows that could not be read."""
         return self._bad_rows
 
+    @property
+    def counts(self) -> TableCounts:
+        """Return the counters of calls."""
+        return self._counts
+
+    @property
+    def generation(self) -> TableGeneration | None:
+        """Return the generation that the last response stated; None before the first."""
+        return self._generation
+
     async def get(self, key: RowKey) -> Result[Row | None, TableError]:
         """Read one row; `Ok(None)` if it is absent."""
         result = await self._read(self._encoding.row_target(key))
@@ -176,7 +211,7 @@
         """Apply all writes if all checks hold."""
         request = self._encoding.transaction_request(checks, writes)
         try:
-            response = await timeout_after(self._timeout_s, self._exchange, request)
+            response = await self._exchange_within(self._timeout_s, request)
         except HttpConnectError as error:
             return Err(TableUnavailableError(str(error)))
         except (HttpError, TaskTimeout) as error:
@@ -199,7 +234,7 @@
         """
         request = HttpRequest(b"GET", target.encode("ascii"), [])
         try:
-            return Ok(await timeout_after(timeout_s, self._exchange, request))
+            return Ok(await self._exchange_within(timeout_s, request))
         except (HttpError, TaskTimeout) as error:
             return Err(TableUnavailableError(f"{type(error).__name__}: {error}"))
 
@@ -207,6 +242,25 @@
         response = await self.fetch(target, self._timeout_s)
         return response.and_then(lambda found: self._encoding.decode_rows(found, self._bad_rows))
 
+    async def _exchange_within(self, timeout_s: float, request: HttpRequest) -> HttpResponse:
+        self._counts.calls += 1
+        try:
+            response = await timeout_after(timeout_s, self._exchange, request)
+        except TaskTimeout:
+            self._counts.timeouts += 1
+            raise
+        self._record_generation(self._encoding.generation(response))
+        return response
+
+    def _record_generation(self, generation: TableGeneration | None) -> None:
+        before = self._generation
+        if generation is None or generation == before:
+            return
+        self._generation = generation
+        if before is not None:
+            self._counts.restorations += 1
+            LOG.warning("table restored", extra={"before": before, "after": generation})
+
     async def _exchange(self, request: HttpRequest) -> HttpResponse:
         request.headers.insert(0, (b"host", f"{self._address}:{self._port}".encode("ascii")))
         client = await self._take_connection()
--- a/tests/table_double.py
+++ b/tests/table_double.py
@@ -7,11 +7,12 @@
 from result import Err, Ok, Result
 
 from pollenbay.badrows import make_bad_rows
-from pollenbay.ids import RowKey, RowVersion
+from pollenbay.ids import RowKey, RowVersion, TableGeneration
 from pollenbay.table import (
     Check,
     Row,
     TableConflictError,
+    TableCounts,
     TableError,
     TableUnavailableError,
     TableUnknownError,
@@ -52,6 +53,8 @@
         self.transaction_sizes: list[int] = []
         self.reads = 0
         self.bad_rows = make_bad_rows()
+        self.counts = TableCounts()
+        self.generation: TableGeneration | None = None
 
     async def get(self, key: RowKey) -> Result[Row | None, TableError]:
         """Read one row."""
