Reproduce configuration that comes late, in tests that fail

The stand-in of the store states its generation, gives 410 for a position that it does not have, and can pause, copy its rows and return to the copy.

--- a/src/standins/metadata.py
+++ b/src/standins/metadata.py
@@ -1,9 +1,12 @@
 """Stand-in for the metadata store of the users' platform: rows, conditional writes and a feed.
 
-``POST /control`` with ``{"mode": "up" | "down" | "silent" | "busy"}`` sets a fault.
+``POST /control`` with ``{"mode": MODE}`` sets a fault, see `Mode`, or does one of these:
+``copy`` keeps a copy of all rows, and ``restore`` returns to it, which gives out versions again and
+raises the generation; requests that the store holds stay where they are.
 """
 
 from base64 import b64decode, b64encode
+from enum import Enum
 from urllib.parse import parse_qs, urlsplit
 
 import click
@@ -12,6 +15,7 @@
 from msgspec.json import decode, encode
 
 from pollenbay.http1 import HttpRequest, HttpResponse
+from pollenbay.platform.names import GENERATION_HEADER
 from pollenbay.stream import listen, port_of
 from standins.listener import LISTEN_ADDRESS, accept_http, json_response, print_ready, text_response
 
@@ -19,10 +23,26 @@
 SILENT_DELAY_S = 3600.0
 STATUS_BUSY = 503
 STATUS_CHECK_FAILED = 412
+STATUS_HISTORY_GONE = 410
+COPY = "copy"
+RESTORE = "restore"
+
+
+class Mode(Enum):
+    """Fault of the store."""
+
+    UP = "up"
+    #: Connections are closed without a response.
+    DOWN = "down"
+    #: No response.
+    SILENT = "silent"
+    BUSY = "busy"
+    #: Requests are served once the fault has ended.
+    PAUSED = "paused"
 
 
 class Control(Struct):
-    """Request to set a fault."""
+    """Request to set a fault, or to make or restore a copy."""
 
     mode: str
 
@@ -49,7 +69,9 @@
         self._rows: dict[tuple[str, str, str], StoredRow] = {}
         self._version = 0
         self._changed = Event()
-        self._mode = "up"
+        self._mode = Mode.UP
+        self._generation = 1
+        self._copy: tuple[dict[tuple[str, str, str], StoredRow], int] = ({}, 0)
 
     async def put(self, table: str, key: str, value: bytes) -> None:
         """Write a row of the operator, outside the transaction interface."""
@@ -61,21 +83,37 @@
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
         if parts.path == "/control":
             control = decode(request.body, type=Control)
-            self._mode = control.mode
+            await self._control(control.mode)
             return json_response(control)
         if parts.path.startswith("/operator/"):
             await self.put("op", parts.path.removeprefix("/operator/"), request.body)
             return HttpResponse(200, [])
-        return await self._serve(request, parts.path, query)
+        response = await self._serve(request, parts.path, query)
+        if response is not None:
+            response.headers.append((GENERATION_HEADER, b"%d" % self._generation))
+        return response
+
+    async def _control(self, mode: str) -> None:
+        if mode == COPY:
+            self._copy = dict(self._rows), self._version
+        elif mode == RESTORE:
+            rows, self._version = self._copy
+            self._rows = dict(rows)
+            self._generation += 1
+        else:
+            self._mode = Mode(mode)
+            await self._changed.set()
 
     async def _serve(
         self, request: HttpRequest, path: str, query: dict[str, str]
     ) -> HttpResponse | None:
-        if self._mode == "silent":
+        while self._mode is Mode.PAUSED:
+            await self._wait_for_change()
+        if self._mode is Mode.SILENT:
             await sleep(SILENT_DELAY_S)
-        if self._mode == "down":
+        if self._mode is Mode.DOWN:
             return None
-        if self._mode == "busy":
+        if self._mode is Mode.BUSY:
             return HttpResponse(STATUS_BUSY, [])
         match request.method, path:
             case b"GET", "/rows-get":
@@ -98,6 +136,8 @@
 
     async def _feed(self, query: dict[str, str]) -> HttpResponse:
         after, wait_s = int(query["after"]), float(query["wait_ms"]) / 1000.0
+        if after > self._version:
+            return HttpResponse(STATUS_HISTORY_GONE, [])
         try:
             await timeout_after(wait_s, self._wait_for, query["table"], after)
         except TaskTimeout:
@@ -106,8 +146,11 @@
 
     async def _wait_for(self, table: str, after: int) -> None:
         while not self._changes(table, after):
-            self._changed.clear()
-            await self._changed.wait()
+            await self._wait_for_change()
+
+    async def _wait_for_change(self) -> None:
+        self._changed.clear()
+        await self._changed.wait()
 
     def _changes(self, table: str, after: int) -> list[StoredRow]:
         rows = [row for row in self._rows.values() if row.table == table and row.ver > after]
--- a/tests/platform_node.py
+++ b/tests/platform_node.py
@@ -43,10 +43,14 @@
     """The processes of one test.
 
     :param folder: directory for settings.
+    :param limits: resource limits in the settings of the node.
     """
 
-    def __init__(self, processes: Processes, folder: Path) -> None:
+    def __init__(
+        self, processes: Processes, folder: Path, limits: dict[str, Any] | None = None
+    ) -> None:
         self._processes = processes
+        self._limits = limits or {}
         self.store = processes.start("store", "standins.metadata")
         self.instance = processes.start("instance", "standins.instance", "--name", TARGET)
         self.requests_port = free_port()
@@ -63,6 +67,7 @@
             "region": "r1",
             "service": SERVICE,
             "address": ADDRESS,
+            "limits": self._limits,
             "platform": {
                 "store": f"{ADDRESS}:{self.store.port}",
                 "target": f"{ADDRESS}:{self.instance.port}",
