Notice silent connections to the store before a version is due

Callers saw: requests handled by an older configuration for seconds after a newer one was confirmed.

Cause: the store holds a feed request for up to 5 s, the longer the more nodes there are, and all nodes ask again at the moment of a change. When all open connections went silent just after that, nobody noticed for 3.9 to 5.7 s, and the gossip had nothing to pass on. Then each node took the other kept connections, which were as dead, for 1.5 s each. Class: what is kept open is trusted for longer than a disruption may last, and a failure of one is not held against the others.

Change: three live members, chosen by a hash, ask with holds of half the time after which a node has to be up to date; the others have long holds. After a time-out the idle connections are closed.

Other places looked at: links between nodes close the idle ones to an address after a failure already; gossip dials again after each time-out; connections to instances are dropped after 4 s of idleness, and one that is silent costs a call its deadline, which is checked by the call's own time-out.

--- a/src/pollenbay/platform/frontend.py
+++ b/src/pollenbay/platform/frontend.py
@@ -28,6 +28,10 @@
 RETRY_BURST_TOKENS = 1.0
 #: Retry tokens that a node earns each second for one class of one service.
 RETRY_TOKENS_PER_S = 0.02
+#: Ratio of the time after a disruption in which a node has to be up to date for which the store
+#: holds the feed requests that have to notice the disruption.
+SENTINEL_HOLD_RATIO = 0.5
+MS_PER_S = 1000.0
 
 
 def make_platform_adapter(settings: PlatformSettings) -> Adapter:
@@ -42,7 +46,7 @@
         retry_rates=retry_rates,
         budget_by_service=True,
         adaptive_limit=False,
-        run_rule_sync=run_rule_feed,
+        run_rule_sync=partial(run_rule_feed, bounds.contact_ms / MS_PER_S * SENTINEL_HOLD_RATIO),
         adapt=adapt_settings,
     )
 
--- a/src/pollenbay/platform/settings.py
+++ b/src/pollenbay/platform/settings.py
@@ -29,12 +29,14 @@
     """Requirements of the deployment on every node.
 
     :param grace_s: seconds from the stop signal until the process is killed.
+    :param contact_ms: milliseconds after a disruption from which on a node has to be up to date.
     :param retry_budget_ratio: retries per request that all nodes together may send to a service.
     :param budget_window_s: seconds over which retries and requests are counted.
     :param budget_extra: retries allowed in each window in addition to the ratio.
     """
 
     grace_s: float = 6.0
+    contact_ms: float = 3000.0
     retry_budget_ratio: float = 0.2
     budget_window_s: float = 10.0
     budget_extra: float = 48.0
--- a/src/pollenbay/platform/store.py
+++ b/src/pollenbay/platform/store.py
@@ -9,13 +9,14 @@
 from result import Err, Result
 
 from pollenbay.badrows import BadRows
-from pollenbay.commands.rulesync import JITTER_FACTORS, adopt_rules
+from pollenbay.commands.rulesync import adopt_rules
 from pollenbay.http1 import HttpRequest, HttpResponse, header_value
 from pollenbay.ids import RowKey, RowVersion, TableGeneration
 from pollenbay.membership import Membership
 from pollenbay.platform.names import CONFIG_KEY, GENERATION_HEADER, OPERATOR_TABLE
 from pollenbay.platform.rules import parse_config
 from pollenbay.platform.settings import Endpoint
+from pollenbay.queries.rulefeed import hold_s
 from pollenbay.ranges import KnownRowVersion
 from pollenbay.table import (
     Check,
@@ -33,12 +34,6 @@
 GENERATION_DIGITS_MAX = 18
 #: Time-out of a read or a write.
 STORE_TIMEOUT_S = 1.5
-#: Range of the time for which the store is asked to hold a feed request. A lost feed request delays
-#: this node by that time unless another node, whose requests end at other times, passes the rules
-#: on first; therefore the time grows with the number of members.
-FEED_WAIT_MIN_S = 1.0
-FEED_WAIT_MAX_S = 5.0
-FEED_WAIT_PER_MEMBER_S = 0.25
 #: Delay of a feed response beyond the requested time after which the request counts as failed.
 FEED_RESPONSE_SLACK_S = 0.7
 FEED_RETRY_PERIOD_S = 0.25
@@ -141,14 +136,19 @@
     return make_table(endpoint.address, endpoint.port, STORE_TIMEOUT_S, StoreEncoding())
 
 
-async def run_rule_feed(membership: Membership) -> None:
-    """Adopt each configuration as soon as the store has it, until cancelled."""
+async def run_rule_feed(sentinel_hold_s: float, membership: Membership) -> None:
+    """Adopt each configuration as soon as the store has it, until cancelled.
+
+    :param sentinel_hold_s: seconds for which the store holds a request of a sentinel.
+    """
+    local = membership.settings.instance
     retry_timer = membership.timer.subscribe(FEED_RETRY_PERIOD_S)
     after: int | None = None
     reached = True
     reached_at = membership.timer.now()
     while True:
-        result = await _next_rows(membership.table, after, _feed_wait_s(membership))
+        wait_s = hold_s(membership.view, local, sentinel_hold_s, membership.rng)
+        result = await _next_rows(membership.table, after, wait_s)
         membership.rules_table_queried = True
         if result.is_ok() != reached:
             reached = result.is_ok()
@@ -173,12 +173,6 @@
         after = found.ver
 
 
-def _feed_wait_s(membership: Membership) -> float:
-    members = len(membership.view.members)
-    wait_s = members * FEED_WAIT_PER_MEMBER_S * membership.rng.uniform(*JITTER_FACTORS)
-    return min(max(wait_s, FEED_WAIT_MIN_S), FEED_WAIT_MAX_S)
-
-
 async def _next_rows(
     table: Table, after: int | None, wait_s: float
 ) -> Result[_StoreRows, TableError]:
--- a/src/pollenbay/table.py
+++ b/src/pollenbay/table.py
@@ -248,6 +248,8 @@
             response = await timeout_after(timeout_s, self._exchange, request)
         except TaskTimeout:
             self._counts.timeouts += 1
+            # Connections that are open now may be as dead as this one.
+            await self.close()
             raise
         self._record_generation(self._encoding.generation(response))
         return response
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable, Iterator
 from typing import Any
 
-from curio import run
+from curio import TaskGroup, run
 from harness import ADDRESS, Process, Processes, control
 from pytest import fixture, mark
 
@@ -107,3 +107,19 @@
     rows = StoreEncoding().decode_rows(HttpResponse(200, [], body), bad_rows).unwrap()
     assert [(row.key, row.value, row.version) for row in rows] == [("t/k", b"x", 3)] * 2
     assert bad_rows.bad_rows == 1
+
+
+def test_read_after_one_that_timed_out_uses_no_other_connection_of_before(
+    store: Process, tmp_path
+) -> None:
+    async def work(table: Table) -> None:
+        async with TaskGroup() as group:
+            for _ in range(5):
+                await group.spawn(table.get, KEY)
+        control(proxy, mode="silence")
+        assert isinstance((await table.get(KEY)).err(), TableUnavailableError)
+        assert (await table.get(KEY)).is_ok()
+
+    with Processes(tmp_path) as processes:
+        proxy = processes.start_proxy(store.port)
+        run_with_table(proxy, work)
