Read the configuration anew when the store has lost the feed position

Callers saw: after the store came back from an older copy, a confirmed configuration was not in force, at nodes that the gossip did not reach for good.

Cause: the node keeps the version up to which it knows the changes, and nothing else. A store that comes back from a copy gives versions out again. If its newest version is still lower, a request that it holds reports nothing until it ends, and its response moved the position back over changes that it did not contain; if its newest version has passed the position again, what was written up to there is never reported. Class: a position is used in another history than the one it was taken from.

Change: a position is a version in a generation of the table. A response in another generation, or with a lower version, does not continue it, and the configuration is read anew.

Other places looked at: checks of row versions in transactions (removal of abandoned rows) can meet a reused version only with the same key and number, and cost a row that its node writes again; the gossip keeps no versions of the store; publication and claims are not used on the platform.

--- a/src/pollenbay/platform/store.py
+++ b/src/pollenbay/platform/store.py
@@ -10,6 +10,7 @@
 
 from pollenbay.badrows import BadRows
 from pollenbay.commands.rulesync import adopt_rules
+from pollenbay.feedposition import FeedPosition
 from pollenbay.http1 import HttpRequest, HttpResponse, header_value
 from pollenbay.ids import RowKey, RowVersion, TableGeneration
 from pollenbay.membership import Membership
@@ -66,6 +67,13 @@
     ver: KnownRowVersion = RowVersion(0)
 
 
+class _FoundRows(Struct):
+    """Rows of the operator, and the position in the feed that they lead to."""
+
+    rows: list[_StoreRow]
+    position: FeedPosition
+
+
 class _TransactionRow(Struct, omit_defaults=True):
     table: str
     key: str
@@ -125,10 +133,15 @@
 
     def generation(self, response: HttpResponse) -> TableGeneration | None:
         """Return the generation in which a response was made; None if it does not state one."""
-        value = header_value(response.headers, GENERATION_HEADER) or b""
-        if not value.isdigit() or len(value) > GENERATION_DIGITS_MAX:
-            return None
-        return TableGeneration(int(value))
+        return read_generation(response)
+
+
+def read_generation(response: HttpResponse) -> TableGeneration | None:
+    """Return the generation of the store in which a response was made; None if it has none."""
+    value = header_value(response.headers, GENERATION_HEADER) or b""
+    if not value.isdigit() or len(value) > GENERATION_DIGITS_MAX:
+        return None
+    return TableGeneration(int(value))
 
 
 def make_store_table(endpoint: Endpoint) -> Table:
@@ -143,47 +156,57 @@
     """
     local = membership.settings.instance
     retry_timer = membership.timer.subscribe(FEED_RETRY_PERIOD_S)
-    after: int | None = None
+    position: FeedPosition | None = None
     reached = True
     reached_at = membership.timer.now()
     while True:
         wait_s = hold_s(membership.view, local, sentinel_hold_s, membership.rng)
-        result = await _next_rows(membership.table, after, wait_s)
+        result = await _next_rows(membership.table, position, wait_s)
         membership.rules_table_queried = True
         if result.is_ok() != reached:
             reached = result.is_ok()
             fields = {
                 "reached": reached,
                 "error": str(result.err()),
-                "after": after,
+                "position": position,
                 "reached_s_ago": round(membership.timer.now() - reached_at, 3),
-                "generation": membership.table.generation,
             }
             LOG.warning("store", extra=fields)
         if isinstance(result, Err):
-            after = None
+            position = None
             await retry_timer.wait()
             continue
         reached_at = membership.timer.now()
         found = result.ok_value
-        if after is not None and found.ver < after:
-            LOG.warning("feed went back", extra={"after": after, "version": found.ver})
-        rows = read_rows(found.rows, _StoreRow, membership.table.bad_rows)
-        await _adopt_newest(membership, rows)
-        after = found.ver
+        await _adopt_newest(membership, found.rows)
+        if position is None or found.position.continues(position):
+            position = found.position
+            continue
+        LOG.warning("feed restarted", extra={"position": position, "found": found.position})
+        position = None
+        await retry_timer.wait()
 
 
 async def _next_rows(
-    table: Table, after: int | None, wait_s: float
-) -> Result[_StoreRows, TableError]:
-    """Return the current configuration, or the changes after a version."""
-    if after is None:
+    table: Table, position: FeedPosition | None, wait_s: float
+) -> Result[_FoundRows, TableError]:
+    """Return the current configuration, or the changes after a position."""
+    if position is None:
         target, timeout_s = f"/rows-get?table={OPERATOR_TABLE}&part=&limit=10", STORE_TIMEOUT_S
     else:
-        target = f"/rows-feed?table={OPERATOR_TABLE}&after={after}&wait_ms={wait_s * 1000:.0f}"
-        timeout_s = wait_s + FEED_RESPONSE_SLACK_S
+        query = f"table={OPERATOR_TABLE}&after={position.version}&wait_ms={wait_s * 1000:.0f}"
+        target, timeout_s = f"/rows-feed?{query}", wait_s + FEED_RESPONSE_SLACK_S
     response = await table.fetch(target, timeout_s)
-    return response.and_then(partial(read_body, body_type=_StoreRows))
+    return response.and_then(partial(_read_found_rows, table))
+
+
+def _read_found_rows(table: Table, response: HttpResponse) -> Result[_FoundRows, TableError]:
+    generation = read_generation(response)
+    return read_body(response, _StoreRows).map(
+        lambda body: _FoundRows(
+            read_rows(body.rows, _StoreRow, table.bad_rows), FeedPosition(generation, body.ver)
+        )
+    )
 
 
 async def _adopt_newest(membership: Membership, rows: list[_StoreRow]) -> None:
