Write the rows of nodes again when the store came back from a copy

Seen: after the store came back from an older copy, a node that starts finds none of those that joined since the copy was made, for up to a minute; two groups could serve without knowing of each other, and configuration would not be passed on between them.

Cause: a node writes its row once a minute and takes a write that was acknowledged for lasting. Class: what was written is thought to be there though the store has lost it.

Change: a node whose table client has seen a change of the generation writes its row again, within 1 s or, in large groups, spread so that all nodes together write at most 100 rows a second.

Other places looked at: nothing else of ours is kept in the store on the platform.

--- a/src/pollenbay/commands/joining.py
+++ b/src/pollenbay/commands/joining.py
@@ -20,6 +20,7 @@
     read_incarnation,
     read_seeds,
     remove_abandoned,
+    restoration_spread_s,
 )
 from pollenbay.states import MemberState
 
@@ -81,12 +82,21 @@
 
 
 async def run_announcements(membership: Membership) -> None:
-    """Keep this node's row in the table until it leaves, and remove abandoned rows."""
+    """Keep this node's row in the table until it leaves, and remove abandoned rows.
+
+    A table that came back from an older copy may have lost the row, so it is written again.
+    """
     ticks = membership.timer.subscribe(TABLE_CHECK_INTERVAL_S)
     backoff_s = BACKOFF_MIN_S
     next_at = membership.timer.now()
+    restorations = membership.table.counts.restorations
     while True:
         leaving = membership.local_member.state is MemberState.LEAVING
+        if membership.table.counts.restorations != restorations:
+            restorations = membership.table.counts.restorations
+            spread_s = restoration_spread_s(len(membership.view.members))
+            restored_at = membership.timer.now() + membership.rng.uniform(0.0, spread_s)
+            next_at = min(next_at, restored_at)
         if membership.timer.now() >= next_at and not leaving:
             if await _announce_in_table(membership):
                 backoff_s = BACKOFF_MIN_S
--- a/src/pollenbay/rendezvous.py
+++ b/src/pollenbay/rendezvous.py
@@ -19,6 +19,9 @@
 ANNOUNCEMENTS_PER_S = 20.0
 POLLS_PER_S = 100.0
 ANNOUNCE_MIN_S = 60.0
+#: Maximum rows that all nodes together write again per second after the table was restored.
+RESTORED_ROWS_PER_S = 100.0
+RESTORATION_SPREAD_MIN_S = 1.0
 POLL_PERIOD_MIN_S = 2.0
 BACKOFF_MAX_S = 10.0
 LOCAL_ZONE_SEED_ROWS = 32
@@ -60,6 +63,14 @@
     return max(ANNOUNCE_MIN_S, members / ANNOUNCEMENTS_PER_S)
 
 
+def restoration_spread_s(members: int) -> float:
+    """Return the seconds over which nodes write their rows again after the table was restored.
+
+    :param members: size of the group.
+    """
+    return max(RESTORATION_SPREAD_MIN_S, members / RESTORED_ROWS_PER_S)
+
+
 def poll_period_s(members: int) -> float:
     """Return the seconds between two polls for a new rule version.
 
