--- a/src/standins/instance.py
+++ b/src/standins/instance.py
@@ -33,6 +33,10 @@
 )
 
 SIGNATURE = b"signed"
+#: Longest request body that is read, as allowed by the platform's configuration.
+REQUEST_LIMIT_BYTES = 64 * 1024 * 1024
+#: Body bytes of an executed request that are listed.
+LISTED_BODY_BYTES = 65536
 #: Longer than any client waits for a response.
 HANG_S = 3600.0
 
@@ -81,6 +85,7 @@
 
     :param name: value of the request id header.
     :param deadline_ms: value of the deadline header; 0 without one.
+    :param body: beginning of the body.
     """
 
     name: str
@@ -110,7 +115,7 @@
 
     async def serve(self, sock: Socket) -> None:
         """Serve a connection until it closes."""
-        server = HttpServer(sock)
+        server = HttpServer(sock, REQUEST_LIMIT_BYTES)
         leftover = b""
         while (request := await read_or_refuse(server)) is not None:
             await sock.sendall(leftover)
@@ -147,7 +152,7 @@
             host=value(b"host"),
             origin=value(ORIGIN_HEADER),
             deadline_ms=float(value(DEADLINE_HEADER) or 0.0),
-            body=request.body.decode("latin-1"),
+            body=request.body[:LISTED_BODY_BYTES].decode("latin-1"),
         )
         self._executed.append(executed)
 
