Bound the memory that bodies take in a node

Clients saw: a crowd with many large or chunked bodies, most of them never ended, made the node run out of memory; all other requests on that machine were lost with it.

Cause: each body is bounded, their sum is not, and a body that has stalled is kept for 75 s. Class: a limit for each of many, none for all.

Change: limits.memory_mb, filled in by the platform; bodies may take half of it, counted with the copy that is made of each. An upload that finds no room is refused with 503 and Retry-After, before anything ran. A quarter is kept for bodies of up to 64 KiB; a request that has stalled for 1 s gives way to an ordinary one. Messages on links and responses of instances wait for room, within the deadline of their call, so what runs isn't lost; a response counts until its client has read it. Long messages are sent without joining their parts and decoded without a copy. limits.caller_stall_s closes a connection that sends nothing in the middle of a request for 15 s, the idle time that clients are allowed.

Other places looked at: responses of instances and messages of nodes had the same fault and are in the same account; the store's and the operator's requests are bounded by a few connections each; gossip messages by 4 MiB and one at a time.

--- a/src/pollenbay/callerfrontend.py
+++ b/src/pollenbay/callerfrontend.py
@@ -9,9 +9,11 @@
 from curio.io import Socket
 
 from pollenbay.announcement import ANNOUNCE_PATH, Announcement
+from pollenbay.bodymemory import BodyHolding, make_holding
 from pollenbay.call import CallProgress, CallRequest
 from pollenbay.codec import CodecError, decode_json
 from pollenbay.commands.announcing import apply_announcement
+from pollenbay.commands.bodymemory import hold, hold_received, release
 from pollenbay.commands.entry import enter_from_caller, enter_from_target
 from pollenbay.http1 import HttpRequest, HttpRequestError, HttpResponse
 from pollenbay.httpserver import HttpServer
@@ -19,8 +21,9 @@
 from pollenbay.node import Node
 from pollenbay.outcome import NotRun, Outcome
 from pollenbay.pipeline import Pipeline, make_pipeline
+from pollenbay.queries.bodymemory import has_room
 from pollenbay.queries.rules import find_call
-from pollenbay.states import NodeState, Reason
+from pollenbay.states import BodyHolder, NodeState, Reason
 from pollenbay.translation import (
     TranslationError,
     read_call_request,
@@ -108,21 +111,30 @@
     """
     task = await current_task()
     pipeline = make_pipeline(task)
-    server = HttpServer(sock, node.settings.limits.body_bytes, pipeline.wait_until_empty)
+    server = HttpServer(
+        sock,
+        node.settings.limits.body_bytes,
+        pipeline.wait_until_empty,
+        partial(_record_bytes, node, task, pipeline),
+    )
     served = 0
+    holding = make_holding(node.body_memory, BodyHolder.CLIENT)
     try:
         while True:
-            request = await _read_request(node, server, pipeline, task, source)
+            request = await _read_request(node, server, pipeline, task, source, holding)
             if request is None or pipeline.closed:
                 return
-            work = partial(_respond, node, sock, request, respond)
+            work = partial(_respond, node, sock, request, respond, holding)
             if may_overlap(node, request):
                 is_last = not server.expects_more
                 await pipeline.wait_for_room()
-                await pipeline.start(request, server.detach_response(), work)
+                on_end = partial(release, holding)
+                await pipeline.start(request, server.detach_response(), work, on_end)
+                holding = make_holding(node.body_memory, BodyHolder.CLIENT)
             else:
                 await pipeline.wait_until_empty()
                 is_last = not await server.write_response(await work(task))
+                release(holding)
             if is_last:
                 await pipeline.wait_until_empty()
                 return
@@ -130,27 +142,60 @@
             if served % REQUESTS_PER_YIELD == 0:
                 await sleep(0)
     finally:
+        release(holding)
         await pipeline.cancel()
 
 
 async def _respond(
-    node: Node, sock: Socket, request: HttpRequest, respond: Respond, task: Task
+    node: Node,
+    sock: Socket,
+    request: HttpRequest,
+    respond: Respond,
+    holding: BodyHolding,
+    task: Task,
 ) -> HttpResponse:
     response = await respond(node, Connection(sock, task), request)
+    hold_received(holding, len(response.body))
     if node.state is NodeState.DRAINING:
         response.headers.append((b"connection", b"close"))
     return response
 
 
+def _record_bytes(node: Node, task: Task, pipeline: Pipeline) -> None:
+    stall_s = node.settings.limits.caller_stall_s + _call_time_s(pipeline)
+    node.watch.record_bytes(task, node.timer.now(), stall_s)
+
+
+def _call_time_s(pipeline: Pipeline) -> float:
+    """Return the time by which a connection may be idle for longer, since it has calls."""
+    return CALL_LIMIT_S if pipeline.calls else 0.0
+
+
+async def _hold_body(node: Node, holding: BodyHolding, added_bytes: int) -> bool:
+    """Hold memory for more bytes of a request, if need be in place of one that has stalled."""
+    if has_room(holding, added_bytes) or not await node.watch.close_longest_stalled(
+        node.timer.now()
+    ):
+        return hold(holding, added_bytes)
+    await sleep(0)
+    return hold(holding, added_bytes)
+
+
 async def _read_request(
-    node: Node, server: HttpServer, pipeline: Pipeline, task: Task, source: str
+    node: Node,
+    server: HttpServer,
+    pipeline: Pipeline,
+    task: Task,
+    source: str,
+    holding: BodyHolding,
 ) -> HttpRequest | None:
     """Return the next request, or None at the end of the connection."""
-    limit_s = node.settings.limits.caller_idle_s + (CALL_LIMIT_S if pipeline.calls else 0.0)
+    ends_at = node.timer.now() + node.settings.limits.caller_idle_s + _call_time_s(pipeline)
     try:
-        with node.watch.watching_idle(task, node.timer.now() + limit_s):
-            request = await server.read_request()
+        with node.watch.watching_idle(task, ends_at, closable=not pipeline.calls):
+            request = await server.read_request(partial(_hold_body, node, holding))
     except HttpRequestError as error:
+        release(holding)
         node.metrics.record_bad_input(source)
         await pipeline.wait_until_empty()
         await server.write_failure(response_to_bad_request(error.status))
--- a/src/pollenbay/codec.py
+++ b/src/pollenbay/codec.py
@@ -32,7 +32,7 @@
         self._decoder = Decoder(value_type)
         self._limit_bytes = limit_bytes
 
-    def decode(self, data: bytes) -> _Value:
+    def decode(self, data: bytes | memoryview) -> _Value:
         """Return the value that is encoded in `data`.
 
         :raises CodecError: if it is not a value of the type.
@@ -74,7 +74,7 @@
     return results
 
 
-def _require_size(data: bytes | Raw, limit_bytes: int) -> None:
+def _require_size(data: bytes | memoryview | Raw, limit_bytes: int) -> None:
     size = len(memoryview(data))
     if size > limit_bytes:
         raise CodecError(f"{size} bytes exceed the limit of {limit_bytes}")
--- a/src/pollenbay/http1.py
+++ b/src/pollenbay/http1.py
@@ -33,6 +33,10 @@
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
+#: Holds memory for more bytes of a body and returns whether there is room.
+HoldBody = Callable[[int], Awaitable[bool]]
+
+
 class HttpError(Exception):
     """Base class of the errors of this layer."""
 
@@ -66,6 +70,7 @@
     CUT_SHORT = "the body stops short"
     TOO_LONG = "the body is too long"
     TOO_MUCH_FRAMING = "the body comes in too many or too long chunks"
+    NO_MEMORY = "there is no memory for the body"
 
 
 class HttpBodyError(HttpError):
@@ -130,15 +135,23 @@
     return frozenset(part.strip().lower() for part in value.split(b","))
 
 
+async def hold_unlimited(added_bytes: int) -> bool:
+    """Let a body take any memory up to the limit of its length."""
+    return True
+
+
 async def collect_body(
     next_event: Callable[[], Awaitable[h11.Event | type[h11.PAUSED]]],
     received_bytes: Callable[[], int],
     limit_bytes: int,
+    hold: HoldBody = hold_unlimited,
 ) -> bytes:
     """Return a complete body from the events of a connection.
 
     :param received_bytes: returns the number of bytes received since the message began.
-    :raises HttpBodyError: if it is truncated, exceeds the limit or is mostly framing.
+    :param hold: holds memory for more bytes of the body and returns whether there is room.
+    :raises HttpBodyError: if it is truncated, exceeds the limit, is mostly framing or finds no
+        memory.
     """
     body = bytearray()
     while True:
@@ -149,6 +162,8 @@
             raise HttpBodyError(BodyProblem.CUT_SHORT)
         if len(body) + len(event.data) > limit_bytes:
             raise HttpBodyError(BodyProblem.TOO_LONG)
+        if not await hold(len(event.data)):
+            raise HttpBodyError(BodyProblem.NO_MEMORY)
         body += event.data
         framing_limit = FRAMING_LIMIT_BYTES + FRAMING_BYTES_PER_BODY_BYTE * len(body)
         if received_bytes() - len(body) > framing_limit:
--- a/src/pollenbay/httpclient.py
+++ b/src/pollenbay/httpclient.py
@@ -11,6 +11,7 @@
     HEADER_LIMIT_BYTES,
     RECEIVE_BYTES,
     STATUSES_WITHOUT_BODY,
+    HoldBody,
     HttpAnswerError,
     HttpBodyError,
     HttpConnectError,
@@ -19,9 +20,16 @@
     HttpResponse,
     collect_body,
     headers_of,
+    hold_unlimited,
 )
 from pollenbay.outcome import Headers
-from pollenbay.stream import StreamConnectError, open_stream, peer_has_sent_or_closed, receive
+from pollenbay.stream import (
+    StreamConnectError,
+    open_stream,
+    peer_has_sent_or_closed,
+    receive,
+    send_parts,
+)
 
 #: Unsolicited responses (to earlier requests) after which the connection is given up.
 UNSOLICITED_RESPONSES_MAX = 2
@@ -54,6 +62,7 @@
         self._endpoint = endpoint
         self._body_limit_bytes = body_limit_bytes
         self._unframed = unframed
+        self._hold: HoldBody = hold_unlimited
         self._must_close = False
         self._received_bytes = 0
         self._conn = _make_connection()
@@ -84,24 +93,29 @@
         return peer_has_sent_or_closed(self._sock)
 
     async def exchange(
-        self, request: HttpRequest, matches: ResponseMatcher | None = None
+        self,
+        request: HttpRequest,
+        matches: ResponseMatcher | None = None,
+        hold: HoldBody = hold_unlimited,
     ) -> HttpResponse:
         """Send a request and return the complete response.
 
         :param matches: returns whether a response is the one to this request and not an unsolicited
             one; None accepts the first response.
+        :param hold: holds memory for more bytes of the response and returns whether there is room.
         :raises HttpExchangeError: if the connection broke.
         :raises HttpAnswerError: if the response is truncated or malformed.
         """
+        self._hold = hold
         try:
-            data = self._encode(request)
+            parts = self._encode(request)
         except h11.LocalProtocolError as error:
             raise HttpExchangeError(f"the request cannot be sent: {error}") from error
         try:
-            if len(data) > SEQUENTIAL_SEND_BYTES_MAX:
-                response = await self._send_while_reading(data, request, matches)
+            if sum(map(len, parts)) > SEQUENTIAL_SEND_BYTES_MAX:
+                response = await self._send_while_reading(parts, request, matches)
             else:
-                await self._sock.sendall(data)
+                await send_parts(self._sock, parts)
                 response = await self._read_matching_response(request, matches)
         except OSError as error:
             raise HttpExchangeError(str(error)) from error
@@ -109,14 +123,14 @@
         return response
 
     async def _send_while_reading(
-        self, data: bytes, request: HttpRequest, matches: ResponseMatcher | None
+        self, parts: list[bytes], request: HttpRequest, matches: ResponseMatcher | None
     ) -> HttpResponse:
         """Read the response while sending, since it may arrive before the server has read all.
 
         If the response arrives before the complete request was sent, the connection is not used
         again: the server would read the rest of the request as the next one.
         """
-        sending = await spawn(self._sock.sendall, data, daemon=True)
+        sending = await spawn(send_parts, self._sock, parts, daemon=True)
         try:
             response = await self._read_matching_response(request, matches)
             self._must_close = (
@@ -130,7 +144,7 @@
         """Close the socket."""
         await self._sock.close()
 
-    def _encode(self, request: HttpRequest) -> bytes:
+    def _encode(self, request: HttpRequest) -> list[bytes]:
         headers = list(request.headers)
         if request.body or request.method in (b"POST", b"PUT", b"PATCH"):
             headers.append((b"content-length", b"%d" % len(request.body)))
@@ -139,7 +153,7 @@
         if request.body:
             parts.append(self._conn.send(h11.Data(data=request.body)))
         parts.append(self._conn.send(h11.EndOfMessage()))
-        return b"".join(part for part in parts if part)
+        return [part for part in parts if part]
 
     async def _read_matching_response(
         self, request: HttpRequest, matches: ResponseMatcher | None
@@ -188,7 +202,10 @@
     async def _read_body(self) -> bytes:
         try:
             return await collect_body(
-                self._next_event, lambda: self._received_bytes, self._body_limit_bytes
+                self._next_event,
+                lambda: self._received_bytes,
+                self._body_limit_bytes,
+                self._hold,
             )
         except HttpBodyError as error:
             raise HttpAnswerError(str(error)) from error
--- a/src/pollenbay/httpserver.py
+++ b/src/pollenbay/httpserver.py
@@ -12,6 +12,7 @@
     RECEIVE_BYTES,
     STATUSES_WITHOUT_BODY,
     BodyProblem,
+    HoldBody,
     HttpBodyError,
     HttpRequest,
     HttpRequestError,
@@ -19,14 +20,16 @@
     collect_body,
     header_value,
     headers_of,
+    hold_unlimited,
 )
 from pollenbay.outcome import Headers
-from pollenbay.stream import receive
+from pollenbay.stream import receive, send_parts
 
 PROBLEM_STATUSES = {
     BodyProblem.CUT_SHORT: 400,
     BodyProblem.TOO_LONG: 413,
     BodyProblem.TOO_MUCH_FRAMING: 413,
+    BodyProblem.NO_MEMORY: 503,
 }
 STATUS_BAD_GATEWAY = 502
 
@@ -37,6 +40,10 @@
     """Let interim responses go out without waiting."""
 
 
+def _ignore_progress() -> None:
+    """Take no note of received bytes."""
+
+
 class PendingResponse:
     """The response to one request, which is still to be sent.
 
@@ -49,17 +56,17 @@
         self._is_head_request = is_head_request
 
     async def send(self, response: HttpResponse) -> bool:
-        """Send a response in one write and return whether the connection can be used again."""
-        await self._sock.sendall(self._encode(response))
+        """Send a response and return whether the connection can be used again."""
+        await send_parts(self._sock, self._encode(response))
         return self._conn.our_state is h11.DONE and self._conn.their_state is h11.DONE
 
     async def send_failure(self, response: HttpResponse) -> None:
         """Send a response to an unreadable request, unless a response was already started."""
         if self._conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             response.headers.append((b"connection", b"close"))
-            await self._sock.sendall(self._encode(response))
+            await send_parts(self._sock, self._encode(response))
 
-    def _encode(self, response: HttpResponse) -> bytes:
+    def _encode(self, response: HttpResponse) -> list[bytes]:
         body = b"" if response.status in STATUSES_WITHOUT_BODY else response.body
         headers = response.headers
         if response.status not in STATUSES_WITHOUT_BODY:
@@ -73,7 +80,7 @@
         if body and not self._is_head_request:
             parts.append(self._conn.send(h11.Data(data=body)))
         parts.append(self._conn.send(h11.EndOfMessage()))
-        return b"".join(part for part in parts if part)
+        return [part for part in parts if part]
 
 
 class HttpServer:
@@ -83,6 +90,7 @@
     :param body_limit_bytes: longest request body that is accepted.
     :param wait_for_turn: returns once the responses to all earlier requests have been sent, before
         an interim response may be.
+    :param note_progress: called when bytes have been received.
     """
 
     def __init__(
@@ -90,10 +98,12 @@
         sock: Socket,
         body_limit_bytes: int = BODY_LIMIT_BYTES,
         wait_for_turn: Callable[[], Awaitable[None]] = _send_at_once,
+        note_progress: Callable[[], None] = _ignore_progress,
     ) -> None:
         self._sock = sock
         self._body_limit_bytes = body_limit_bytes
         self._wait_for_turn = wait_for_turn
+        self._note_progress = note_progress
         self._conn = _make_connection()
         self._is_head_request = False
         self._received_bytes = 0
@@ -108,9 +118,10 @@
         """Return whether the client may send another request after the last one."""
         return self._conn.their_state is h11.DONE
 
-    async def read_request(self) -> HttpRequest | None:
+    async def read_request(self, hold: HoldBody = hold_unlimited) -> HttpRequest | None:
         """Return the next request, or None when the client has closed.
 
+        :param hold: holds memory for more bytes of the body and returns whether there is room.
         :raises HttpRequestError: if the request is malformed, too long or truncated.
         """
         if self._conn.our_state is h11.DONE and self._conn.their_state is h11.DONE:
@@ -124,7 +135,7 @@
         self._is_head_request = head.method == b"HEAD"
         headers = headers_of(head)
         self._require_length_in_limit(headers)
-        body = await self._read_body()
+        body = await self._read_body(hold)
         return HttpRequest(head.method, head.target, headers, body)
 
     def detach_response(self) -> PendingResponse:
@@ -159,10 +170,10 @@
                 PROBLEM_STATUSES[BodyProblem.TOO_LONG], BodyProblem.TOO_LONG.value
             )
 
-    async def _read_body(self) -> bytes:
+    async def _read_body(self, hold: HoldBody) -> bytes:
         try:
             return await collect_body(
-                self._next_event, lambda: self._received_bytes, self._body_limit_bytes
+                self._next_event, lambda: self._received_bytes, self._body_limit_bytes, hold
             )
         except HttpBodyError as error:
             raise HttpRequestError(PROBLEM_STATUSES[error.problem], str(error)) from error
@@ -184,6 +195,7 @@
             await self._sock.sendall(self._conn.send(continue_response))
         data = await receive(self._sock, RECEIVE_BYTES)
         self._received_bytes += len(data)
+        self._note_progress()
         self._conn.receive_data(data)
 
 
--- a/src/pollenbay/link.py
+++ b/src/pollenbay/link.py
@@ -9,10 +9,19 @@
 from curio.io import Socket
 from msgspec.msgpack import Encoder
 
+from pollenbay.bodymemory import SMALL_BODY_MAX_BYTES, BodyMemory, make_holding
 from pollenbay.codec import CodecError, make_message_decoder
+from pollenbay.commands.bodymemory import release, wait_to_hold
 from pollenbay.ids import CallId
 from pollenbay.linkmessage import AnyLinkMessage, ProgressMessage
-from pollenbay.stream import StreamConnectError, open_stream, peer_has_closed, receive
+from pollenbay.states import BodyHolder
+from pollenbay.stream import (
+    StreamConnectError,
+    open_stream,
+    peer_has_closed,
+    receive,
+    send_parts,
+)
 
 RECEIVE_BYTES = 65536
 #: Maximum message length; holds a body of the maximum size with its headers.
@@ -56,11 +65,15 @@
 
 
 class Link:
-    """One side of a connection between two nodes."""
+    """One side of a connection between two nodes.
 
-    def __init__(self, sock: Socket) -> None:
+    :param memory: memory for the bodies of long messages; None for no limit.
+    """
+
+    def __init__(self, sock: Socket, memory: BodyMemory | None = None) -> None:
         self._sock = sock
         self._received = bytearray()
+        self._holding = None if memory is None else make_holding(memory, BodyHolder.PEER)
 
     @property
     def sock(self) -> Socket:
@@ -78,20 +91,25 @@
         :raises LinkBrokenError: if the connection broke.
         """
         try:
-            await self._sock.sendall(_encode_frame(message))
+            await send_parts(self._sock, _encode_frame(message))
         except OSError as error:
             raise LinkBrokenError(str(error)) from error
 
     async def receive(self) -> AnyLinkMessage | None:
         """Return the next message, or None when the other node has closed between messages.
 
+        A long message waits until there is memory for it, which is held until the next call of this
+        method, `forget_message` or `close`.
+
         :raises LinkBrokenError: if the connection broke.
         :raises LinkMessageError: if the received bytes are not a link message.
         """
+        self.forget_message()
         while True:
             message = self._decode_buffered()
             if message is not None:
                 return message
+            await self._hold_long_message()
             data = await self._receive_bytes()
             if not data:
                 return None
@@ -102,7 +120,7 @@
 
         A full send buffer counts as usable: the other node still has bytes to read.
         """
-        data = _encode_frame(ProgressMessage(call_id))
+        data = b"".join(_encode_frame(ProgressMessage(call_id)))
         try:
             return write(self._sock.fileno(), data) == len(data)
         except BlockingIOError:
@@ -112,8 +130,21 @@
 
     async def close(self) -> None:
         """Close the connection."""
+        self.forget_message()
         await self._sock.close()
 
+    def forget_message(self) -> None:
+        """Give back the memory that is held for the last message."""
+        if self._holding is not None:
+            release(self._holding)
+
+    async def _hold_long_message(self) -> None:
+        if self._holding is None or len(self._received) < LENGTH_PREFIX.size:
+            return
+        (length,) = LENGTH_PREFIX.unpack_from(self._received)
+        if length > SMALL_BODY_MAX_BYTES and not self._holding.held_bytes:
+            await wait_to_hold(self._holding, length)
+
     def _decode_buffered(self) -> AnyLinkMessage | None:
         received = self._received
         if len(received) < LENGTH_PREFIX.size:
@@ -124,9 +155,10 @@
         end = LENGTH_PREFIX.size + length
         if len(received) < end:
             return None
-        data = bytes(received[LENGTH_PREFIX.size : end])
+        with memoryview(received) as view, view[LENGTH_PREFIX.size : end] as data:
+            message = _decode(data)
         del received[:end]
-        return _decode(data)
+        return message
 
     async def _receive_bytes(self) -> bytes:
         try:
@@ -136,9 +168,13 @@
 
 
 class LinkPool:
-    """Idle links to other nodes, by address."""
+    """Idle links to other nodes, by address.
+
+    :param memory: memory for the bodies of long messages; None for no limit.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, memory: BodyMemory | None = None) -> None:
+        self._memory = memory
         self._idle: dict[tuple[str, int], list[tuple[float, Link]]] = {}
 
     async def acquire(self, address: str, port: int, now: float, idempotent: bool = True) -> Link:
@@ -156,13 +192,14 @@
             if fresh or (idle_s < IDLE_LIMIT_S and not link.stale):
                 return link
             await link.close()
-        return await _open_link(address, port)
+        return await _open_link(address, port, self._memory)
 
     async def release(self, address: str, port: int, link: Link, now: float) -> None:
         """Return a link to the pool after a call on it has ended cleanly.
 
         :param now: monotonic seconds.
         """
+        link.forget_message()
         idle_links = self._idle.setdefault((address, port), [])
         if len(idle_links) >= IDLE_LINKS_PER_ADDRESS_MAX:
             await link.close()
@@ -175,25 +212,28 @@
             await link.close()
 
 
-def make_link_pool() -> LinkPool:
-    """Return a pool with no links."""
-    return LinkPool()
+def make_link_pool(memory: BodyMemory | None = None) -> LinkPool:
+    """Return a pool with no links.
+
+    :param memory: memory for the bodies of long messages; None for no limit.
+    """
+    return LinkPool(memory)
 
 
-def _encode_frame(message: AnyLinkMessage) -> bytes:
+def _encode_frame(message: AnyLinkMessage) -> list[bytes]:
     data = ENCODER.encode(message)
-    return LENGTH_PREFIX.pack(len(data)) + data
+    return [LENGTH_PREFIX.pack(len(data)), data]
 
 
-def _decode(data: bytes) -> AnyLinkMessage:
+def _decode(data: memoryview) -> AnyLinkMessage:
     try:
         return DECODER.decode(data)
     except CodecError as error:
         raise LinkMessageError(str(error)) from error
 
 
-async def _open_link(address: str, port: int) -> Link:
+async def _open_link(address: str, port: int, memory: BodyMemory | None) -> Link:
     try:
-        return Link(await open_stream(address, port, CONNECT_TIMEOUT_S))
+        return Link(await open_stream(address, port, CONNECT_TIMEOUT_S), memory)
     except StreamConnectError as error:
         raise LinkConnectError(str(error)) from error
--- a/src/pollenbay/linkfrontend.py
+++ b/src/pollenbay/linkfrontend.py
@@ -3,12 +3,22 @@
 from curio import Task, current_task, sleep
 from curio.io import Socket
 
+from pollenbay.bodymemory import make_holding
 from pollenbay.call import CallProgress
+from pollenbay.commands.bodymemory import hold_received, release
 from pollenbay.commands.serving import serve
 from pollenbay.link import Link, LinkBrokenError, LinkMessageError
-from pollenbay.linkmessage import AnyLinkMessage, CallMessage, ReplyMessage, make_call, reply_to
+from pollenbay.linkmessage import (
+    AnyLinkMessage,
+    CallMessage,
+    ReplyMessage,
+    ResponseMessage,
+    make_call,
+    reply_to,
+)
 from pollenbay.node import Node
 from pollenbay.queries.feedback import make_feedback
+from pollenbay.states import BodyHolder
 from pollenbay.watch import WatchedCall
 
 BAD_INPUT_SOURCE = "link"
@@ -20,13 +30,15 @@
 
 async def serve_link(node: Node, sock: Socket) -> None:
     """Serve the calls that arrive on one link until it closes."""
-    link = Link(sock)
+    link = Link(sock, node.body_memory)
     try:
         await _serve_calls(node, link)
     except LinkMessageError:
         node.metrics.record_bad_input(BAD_INPUT_SOURCE)
     except LinkBrokenError:
         return
+    finally:
+        link.forget_message()
 
 
 async def _serve_calls(node: Node, link: Link) -> None:
@@ -40,12 +52,22 @@
         if now - feedback_sent_at >= FEEDBACK_INTERVAL_MIN_S:
             reply.feedback = make_feedback(node, call_message.name, now)
             feedback_sent_at = now
-        await link.send(reply)
+        await _send_reply(node, link, reply)
         served += 1
         if served % CALLS_PER_YIELD == 0:
             await sleep(0)
 
 
+async def _send_reply(node: Node, link: Link, reply: ReplyMessage) -> None:
+    holding = make_holding(node.body_memory, BodyHolder.PEER)
+    if isinstance(reply, ResponseMessage):
+        hold_received(holding, len(reply.body))
+    try:
+        await link.send(reply)
+    finally:
+        release(holding)
+
+
 def _require_call(message: AnyLinkMessage) -> CallMessage:
     if not isinstance(message, CallMessage):
         raise LinkMessageError(f"expected a call, got {type(message).__name__}")
--- a/src/pollenbay/node.py
+++ b/src/pollenbay/node.py
@@ -7,6 +7,7 @@
 from curio import Event
 
 from pollenbay.adapter import Adapter, make_plain_adapter
+from pollenbay.bodymemory import BodyMemory, make_body_memory
 from pollenbay.budget import RetryBudgets, make_retry_budgets
 from pollenbay.contexts import Contexts, make_contexts
 from pollenbay.decisions import DecisionLog, make_decision_log
@@ -60,6 +61,7 @@
     contexts: Contexts
     ledger: Ledger
     links: LinkPool
+    body_memory: BodyMemory
     watch: Watch
     membership: Membership
     metrics: Metrics
@@ -101,6 +103,7 @@
     membership = make_membership(
         settings, link_port, view, rulebook, table, timer, adopt, read_rules
     )
+    body_memory = make_body_memory(settings.limits.memory_mb)
     ledger = make_ledger(table, settings.instance, membership.incarnation, timer)
     node = Node(
         settings=settings,
@@ -109,13 +112,14 @@
         table=table,
         rulebook=rulebook,
         view=view,
-        target=make_target(settings.limits.body_bytes, adapter.dialect),
+        target=make_target(settings.limits.body_bytes, adapter.dialect, body_memory),
+        body_memory=body_memory,
         gate=make_gate(DEFAULT_SLOTS, adapter.adaptive_limit),
         scores=make_scores(),
         budgets=make_retry_budgets(adapter.retry_rates, adapter.budget_by_service),
         contexts=make_contexts(),
         ledger=ledger,
-        links=make_link_pool(),
+        links=make_link_pool(body_memory),
         watch=make_watch(),
         membership=membership,
         metrics=make_metrics(),
@@ -138,6 +142,7 @@
     for prefix, source in sources.items():
         node.metrics.add_counters(prefix, source, _integer_names(source))
     node.metrics.add_counters("pollenbay_watch", node.watch, ("left",))
+    node.metrics.add_counters("pollenbay_body_memory", node.body_memory, ("refused", "waited"))
 
 
 def _integer_names(source: object) -> tuple[str, ...]:
--- a/src/pollenbay/pipeline.py
+++ b/src/pollenbay/pipeline.py
@@ -22,6 +22,10 @@
 Work = Callable[[Task], Awaitable[HttpResponse]]
 
 
+def _do_nothing() -> None:
+    """Leave everything as it is at the end of a call."""
+
+
 class Pipeline:
     """Calls of one connection in the order of their requests.
 
@@ -63,15 +67,22 @@
         while self._calls:
             await self._wait_for_change()
 
-    async def start(self, request: HttpRequest, pending: PendingResponse, work: Work) -> None:
+    async def start(
+        self,
+        request: HttpRequest,
+        pending: PendingResponse,
+        work: Work,
+        on_end: Callable[[], None] = _do_nothing,
+    ) -> None:
         """Start a call.
 
         :param pending: sends the response.
         :param work: runs the call, in the task that it is given, and returns the response.
+        :param on_end: called when the response has been sent or is given up.
         """
         number = self._started
         self._started += 1
-        task = await spawn(self._run, number, pending, work, daemon=True)
+        task = await spawn(self._run, number, pending, work, on_end, daemon=True)
         self._calls[task] = len(request.body)
 
     async def cancel(self) -> None:
@@ -80,7 +91,9 @@
         for task in list(self._calls):
             await task.cancel()
 
-    async def _run(self, number: int, pending: PendingResponse, work: Work) -> None:
+    async def _run(
+        self, number: int, pending: PendingResponse, work: Work, on_end: Callable[[], None]
+    ) -> None:
         task = await current_task()
         sent = False
         try:
@@ -90,6 +103,7 @@
                 await self._wait_for_change()
             sent = await self._send(number, pending, response)
         finally:
+            on_end()
             del self._calls[task]
             self._turn += 1
             self._closed = self._closed or not sent
--- a/src/pollenbay/settings.py
+++ b/src/pollenbay/settings.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 from yaml import YAMLError, safe_load
 
+from pollenbay.bodymemory import MEMORY_MB
 from pollenbay.http1 import BODY_LIMIT_BYTES
 from pollenbay.ids import HostId, InstanceId, RegionId, ServiceName, ZoneId
 from pollenbay.table import TABLE_TIMEOUT_S
@@ -21,6 +22,7 @@
 LEAVE_DELAY_S = 2.0
 CALLER_IDLE_TIMEOUT_S = 75.0
 CALLER_CONNECTIONS_MAX = 4096
+CALLER_STALL_TIMEOUT_S = 15.0
 PORT_MAX = 65535
 TOKEN_CHARS_MIN = 16
 
@@ -84,11 +86,17 @@
     :param body_bytes: maximum size of the body of a request or a response.
     :param caller_connections: maximum number of concurrent connections of callers.
     :param caller_idle_s: seconds after which an idle connection is closed.
+    :param caller_stall_s: seconds without a byte after which a connection in the middle of a
+        request is closed.
+    :param memory_mb: megabytes that the process may use; bodies may take half of them. An upload
+        that finds no room is refused as not run.
     """
 
     body_bytes: int = BODY_LIMIT_BYTES
     caller_connections: int = CALLER_CONNECTIONS_MAX
     caller_idle_s: float = CALLER_IDLE_TIMEOUT_S
+    caller_stall_s: float = CALLER_STALL_TIMEOUT_S
+    memory_mb: float = MEMORY_MB
 
 
 class Settings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -194,13 +202,19 @@
         "limits.body_bytes": settings.limits.body_bytes,
         "limits.caller_connections": settings.limits.caller_connections,
         "limits.caller_idle_s": settings.limits.caller_idle_s,
+        "limits.caller_stall_s": settings.limits.caller_stall_s,
+        "limits.memory_mb": settings.limits.memory_mb,
     }
     if settings.table is not None:
         positive["table.timeout_s"] = settings.table.timeout_s
     for key, value in positive.items():
         if not 0 < value < inf:
             yield f"expected more than 0 - at `$.{key}`"
-    for key, value in {"drain_s": settings.drain_s, "leave_s": settings.leave_s}.items():
+    not_negative = {
+        "drain_s": settings.drain_s,
+        "leave_s": settings.leave_s,
+    }
+    for key, value in not_negative.items():
         if not 0 <= value < inf:
             yield f"expected 0 or more - at `$.{key}`"
 
--- a/src/pollenbay/states.py
+++ b/src/pollenbay/states.py
@@ -42,6 +42,17 @@
     LEAVING = "leaving"
 
 
+class BodyHolder(Enum):
+    """What a body that a node holds belongs to."""
+
+    #: Request of a client, or the response to it.
+    CLIENT = "client"
+    #: Message on a link, from another node.
+    PEER = "peer"
+    #: Response of the local target.
+    TARGET = "target"
+
+
 class ClaimState(Enum):
     """State of the row that guards one idempotency key."""
 
--- a/src/pollenbay/stream.py
+++ b/src/pollenbay/stream.py
@@ -11,6 +11,8 @@
 
 CONNECT_TIMEOUT_S = 1.0
 BACKLOG_CONNECTIONS = 1024
+#: Longest message whose parts are joined before they are sent.
+JOINED_BYTES_MAX = 65536
 CLOSED_EVENTS = POLLRDHUP | POLLHUP | POLLERR
 
 
@@ -93,6 +95,18 @@
     return await sock.recv(limit_bytes)
 
 
+async def send_parts(sock: Socket, parts: list[bytes]) -> None:
+    """Send parts of a message: in one write, or without a copy if they are long.
+
+    :raises OSError: if the connection broke.
+    """
+    if len(parts) == 1 or sum(map(len, parts)) <= JOINED_BYTES_MAX:
+        await sock.sendall(b"".join(parts))
+        return
+    for part in parts:
+        await sock.sendall(part)
+
+
 def peer_has_closed(sock: Socket) -> bool:
     """Return, without waiting or reading, whether the other side has closed the connection."""
     return _has_event(sock, CLOSED_EVENTS)
--- a/src/pollenbay/target.py
+++ b/src/pollenbay/target.py
@@ -6,9 +6,12 @@
 
 from curio import TaskTimeout, timeout_after
 
+from pollenbay.bodymemory import MEMORY_MB, BodyMemory, make_body_memory, make_holding
 from pollenbay.call import Call
+from pollenbay.commands.bodymemory import release, wait_to_hold
 from pollenbay.dialect import DialectError, TargetDialect
 from pollenbay.http1 import (
+    HoldBody,
     HttpAnswerError,
     HttpConnectError,
     HttpExchangeError,
@@ -18,7 +21,7 @@
 from pollenbay.httpclient import HttpClient, ResponseMatcher, connect_http
 from pollenbay.ids import ContextKey, TargetId
 from pollenbay.outcome import Answered, NotRun
-from pollenbay.states import Reason, TargetState
+from pollenbay.states import BodyHolder, Reason, TargetState
 
 #: Time without an announcement after which the target counts as absent.
 ANNOUNCEMENT_LEASE_S = 3.0
@@ -58,10 +61,12 @@
 
     :param body_limit_bytes: longest response body that is accepted.
     :param dialect: conventions of its HTTP requests and responses.
+    :param memory: memory for the bodies of its responses.
     """
 
-    def __init__(self, body_limit_bytes: int, dialect: TargetDialect) -> None:
+    def __init__(self, body_limit_bytes: int, dialect: TargetDialect, memory: BodyMemory) -> None:
         self._body_limit_bytes = body_limit_bytes
+        self._memory = memory
         self._dialect = dialect
         self._name = NO_TARGET_ID
         self._state = TargetState.ABSENT
@@ -190,14 +195,18 @@
         """
         dialect = self._dialect
         request = dialect.request(call, context, time_left_s, self.endpoint, self._name)
+        matches = partial(dialect.is_response_to, call)
+        holding = make_holding(self._memory, BodyHolder.TARGET)
         try:
             response = await _exchange(
-                client, request, timeout_s, partial(dialect.is_response_to, call)
+                client, request, timeout_s, matches, partial(wait_to_hold, holding)
             )
             outcome = _parse_outcome(dialect, call, response)
         except BaseException:
             await client.close()
             raise
+        finally:
+            release(holding)
         if isinstance(outcome, NotRun):
             # A faulty target may write a refusal once more, as the response to a later request.
             await client.close()
@@ -214,13 +223,17 @@
 
 
 async def _exchange(
-    client: HttpClient, request: HttpRequest, timeout_s: float | None, matches: ResponseMatcher
+    client: HttpClient,
+    request: HttpRequest,
+    timeout_s: float | None,
+    matches: ResponseMatcher,
+    hold: HoldBody,
 ) -> HttpResponse:
     try:
         if timeout_s is None:
-            return await client.exchange(request, matches)
+            return await client.exchange(request, matches, hold)
         async with timeout_after(timeout_s):
-            return await client.exchange(request, matches)
+            return await client.exchange(request, matches, hold)
     except TaskTimeout as error:
         raise TargetResponseError(Reason.DEADLINE) from error
     except HttpExchangeError as error:
@@ -229,6 +242,11 @@
         raise TargetResponseError(Reason.ANSWER_BROKEN) from error
 
 
-def make_target(body_limit_bytes: int, dialect: TargetDialect) -> Target:
-    """Return a target that has not sent an announcement."""
-    return Target(body_limit_bytes, dialect)
+def make_target(
+    body_limit_bytes: int, dialect: TargetDialect, memory: BodyMemory | None = None
+) -> Target:
+    """Return a target that has not sent an announcement.
+
+    :param memory: memory for the bodies of its responses; by default its own.
+    """
+    return Target(body_limit_bytes, dialect, memory or make_body_memory(MEMORY_MB))
--- a/src/pollenbay/translation.py
+++ b/src/pollenbay/translation.py
@@ -41,6 +41,10 @@
     Reason.CALLER_SHARE: 429,
     Reason.DEADLINE: 504,
 }
+#: Reasons for which a request is not read, by status; `Reason.BAD_REQUEST` for any other.
+REASONS_OF_BAD_REQUESTS = {413: Reason.TOO_LARGE, STATUS_NOT_RUN: Reason.OVERLOAD}
+#: Time after which memory for another body may have been given back.
+NO_MEMORY_RETRY_S = 0.3
 STATUSES_UNKNOWN = {
     Reason.CONNECTION_LOST: 502,
     Reason.ANSWER_BROKEN: 502,
@@ -166,8 +170,11 @@
 
     :param status: HTTP status of the response.
     """
-    reason = Reason.TOO_LARGE if status == STATUSES_NOT_RUN[Reason.TOO_LARGE] else None
-    return _make_node_response(status, "not-run", reason or Reason.BAD_REQUEST)
+    reason = REASONS_OF_BAD_REQUESTS.get(status, Reason.BAD_REQUEST)
+    response = _make_node_response(status, "not-run", reason)
+    if reason is Reason.OVERLOAD:
+        response.headers.append((b"retry-after", b"%.3f" % NO_MEMORY_RETRY_S))
+    return response
 
 
 def _make_node_response(status: int, outcome: str, reason: Reason) -> HttpResponse:
--- a/src/pollenbay/watch.py
+++ b/src/pollenbay/watch.py
@@ -23,6 +23,8 @@
 POLLS_PER_PROGRESS = 3
 #: Polls between two checks of idle connections, which may outlive their limit by that time.
 POLLS_PER_IDLE_CHECK = 5
+#: Seconds without a byte after which a request that has begun may be given up for another one.
+STALLED_S = 1.0
 #: Seconds past its deadline after which a call that its sender should have cancelled has lost its
 #: sender: several round trips between regions.
 OVERDUE_S = 0.2
@@ -49,6 +51,21 @@
     call_id: CallId | None = None
 
 
+class RequestWait(Struct):
+    """Wait of a connection for a complete request.
+
+    :param ends_at: monotonic seconds at which the connection is closed.
+    :param limit_at: latest value of `ends_at`, however much arrives.
+    :param closable: whether the connection may be closed in favour of another one.
+    :param received_at: monotonic seconds of the last bytes; None before the first.
+    """
+
+    ends_at: float
+    limit_at: float
+    closable: bool
+    received_at: float | None = None
+
+
 class ScopedEntry(Generic[K, V]):
     """Context manager that keeps an entry in a dictionary for the length of a block.
 
@@ -66,7 +83,7 @@
         self._entries[self._key] = self._value
 
     def __exit__(self, *_: object) -> None:
-        del self._entries[self._key]
+        self._entries.pop(self._key, None)
 
 
 class Watch:
@@ -74,7 +91,7 @@
 
     def __init__(self) -> None:
         self._watched: dict[Task, WatchedCall] = {}
-        self._idle: dict[Task, float] = {}
+        self._idle: dict[Task, RequestWait] = {}
         self._cancelled = 0
 
     @property
@@ -102,13 +119,50 @@
                 return Unknown(Reason.CANCELLED)
             return NotRun(Reason.DRAINING)
 
-    def watching_idle(self, task: Task, ends_at: float) -> ScopedEntry[Task, float]:
+    def watching_idle(
+        self, task: Task, ends_at: float, closable: bool = True
+    ) -> ScopedEntry[Task, RequestWait]:
         """Register a connection as waiting for a request for the length of the block.
 
         :param task: task that serves the connection; cancelled if the wait exceeds its limit.
         :param ends_at: monotonic seconds of that limit.
+        :param closable: whether the connection may be closed earlier in favour of another one.
+        """
+        return ScopedEntry(self._idle, task, RequestWait(ends_at, ends_at, closable))
+
+    def record_bytes(self, task: Task, now: float, stall_s: float) -> None:
+        """Record that bytes of an awaited request have arrived.
+
+        :param now: monotonic seconds.
+        :param stall_s: seconds without further bytes after which the connection is closed.
+        """
+        wait = self._idle.get(task)
+        if wait is not None:
+            wait.received_at = now
+            wait.ends_at = min(now + stall_s, wait.limit_at)
+
+    async def close_longest_stalled(self, now: float) -> bool:
+        """Close the connection that has been stalled for longest in the middle of a request.
+
+        :param now: monotonic seconds.
+        :returns: whether there was one that has been stalled for `STALLED_S`.
         """
-        return ScopedEntry(self._idle, task, ends_at)
+        stalled = {
+            task: wait.received_at
+            for task, wait in self._idle.items()
+            if wait.closable
+            and wait.received_at is not None
+            and now - wait.received_at >= STALLED_S
+        }
+        return await self._close_first(stalled)
+
+    async def _close_first(self, times: dict[Task, float]) -> bool:
+        if not times:
+            return False
+        task = min(times, key=times.__getitem__)
+        del self._idle[task]
+        await task.cancel(blocking=False)
+        return True
 
     async def cancel_all(self) -> None:
         """Cancel all calls in progress; `run_watched` returns an outcome for each."""
@@ -153,7 +207,7 @@
                 await watched.task.cancel(blocking=False)
 
     async def _close_idle(self, now: float) -> None:
-        for task in [task for task, ends_at in self._idle.items() if now > ends_at]:
+        for task in [task for task, wait in self._idle.items() if now > wait.ends_at]:
             await task.cancel(blocking=False)
 
     def _send_progress(self) -> None:
--- a/tests/crowd.py
+++ b/tests/crowd.py
@@ -72,12 +72,23 @@
 
     :param port: port of the node.
     :param path: path of the requests, which must not be idempotent.
+    :param body_bytes: length of the bodies that are whole or in pieces.
+    :param complete_every: one client in so many completes its request.
     """
 
-    def __init__(self, port: int, path: str, shape: Shape, clients: int) -> None:
+    def __init__(
+        self,
+        port: int,
+        path: str,
+        shape: Shape,
+        clients: int,
+        body_bytes: int = BODY_BYTES,
+        complete_every: int = COMPLETE_EVERY,
+    ) -> None:
         self._shape = shape
         self._clients = [
-            _connect(port, request_parts(path, shape, number)) for number in range(clients)
+            _connect(port, request_parts(path, shape, number, body_bytes, complete_every))
+            for number in range(1, clients + 1)
         ]
 
     def __enter__(self) -> Crowd:
@@ -96,18 +107,20 @@
             _send_side_by_side([client])
 
 
-def request_parts(path: str, shape: Shape, number: int) -> Iterator[bytes]:
+def request_parts(
+    path: str, shape: Shape, number: int, body_bytes: int, complete_every: int
+) -> Iterator[bytes]:
     """Yield the parts of one client's request; few of them are complete.
 
-    :param number: number of the client.
+    :param number: number of the client, from 1.
     """
-    complete = number % COMPLETE_EVERY == 0
+    complete = number % complete_every == 0
     head = (
         f"POST {path} HTTP/1.1\r\nhost: shop.example\r\nx-pollenbay-request-id: crowd-{number}\r\n"
     )
     if shape in (Shape.WHOLE, Shape.PIECEWISE):
-        yield f"{head}content-length: {BODY_BYTES}\r\n\r\n".encode()
-        yield from _pieces(BODY_BYTES if complete else BODY_BYTES - 1)
+        yield f"{head}content-length: {body_bytes}\r\n\r\n".encode()
+        yield from _pieces(body_bytes if complete else body_bytes - 1)
     elif shape is Shape.HEAD_ONLY:
         yield f"{head}content-length: {BODY_BYTES}\r\n\r\n".encode()
     elif shape is Shape.ANNOUNCED_TOO_LONG:
--- /dev/null
+++ b/tests/test_bodymemory.py
@@ -0,0 +1,83 @@
+"""Memory for bodies: within its limit, with a part for small ones, and given back whole."""
+
+from curio import run, sleep, spawn
+from hypothesis import given
+from hypothesis import strategies as st
+
+from pollenbay.bodymemory import (
+    BYTES_PER_MB,
+    COPIES,
+    SMALL_BODY_MAX_BYTES,
+    BodyHolding,
+    BodyMemory,
+    make_body_memory,
+    make_holding,
+)
+from pollenbay.commands.bodymemory import hold, hold_received, release, wait_to_hold
+from pollenbay.queries.bodymemory import ALONE_RATIO
+from pollenbay.states import BodyHolder
+
+MEMORY_MB = 256
+BODY_MAX_BYTES = 64 * 1024 * 1024
+STEPS = st.lists(
+    st.tuples(
+        st.integers(0, 9),
+        st.one_of(st.none(), st.integers(0, 100_000), st.integers(0, BODY_MAX_BYTES)),
+    ),
+    max_size=60,
+)
+
+
+def client_holding(memory: BodyMemory) -> BodyHolding:
+    return make_holding(memory, BodyHolder.CLIENT)
+
+
+@given(steps=STEPS)
+def test_what_is_held_stays_within_the_limit_beside_one_body_alone(
+    steps: list[tuple[int, int | None]],
+) -> None:
+    memory = make_body_memory(MEMORY_MB)
+    holdings = [client_holding(memory) for _ in range(10)]
+    for index, added in steps:
+        if added is None:
+            release(holdings[index])
+        elif holdings[index].held_bytes + added * COPIES <= BODY_MAX_BYTES * COPIES:
+            hold(holdings[index], added)
+        assert memory.small_bytes + memory.large_bytes == sum(h.held_bytes for h in holdings)
+        largest = max(h.held_bytes for h in holdings)
+        alone = largest + memory.limit_bytes * ALONE_RATIO
+        assert memory.small_bytes <= memory.limit_bytes
+        assert memory.large_bytes <= max(memory.limit_bytes, alone)
+    for each in holdings:
+        release(each)
+    assert (memory.small_bytes, memory.large_bytes) == (0, 0)
+
+
+def test_longest_body_fits_alone() -> None:
+    holding = client_holding(make_body_memory(MEMORY_MB))
+    assert all(hold(holding, 65_536) for _ in range(BODY_MAX_BYTES // 65_536))
+
+
+def test_small_body_fits_beside_any_number_of_large_ones() -> None:
+    memory = make_body_memory(MEMORY_MB)
+    large = [client_holding(memory) for _ in range(50)]
+    while any([hold(each, 50_000) for each in large]):
+        pass
+    assert memory.large_bytes <= MEMORY_MB * BYTES_PER_MB / 2
+    assert not hold(client_holding(memory), SMALL_BODY_MAX_BYTES + 1)
+    assert hold(client_holding(memory), SMALL_BODY_MAX_BYTES)
+
+
+def test_message_waits_until_memory_is_given_back() -> None:
+    async def main() -> None:
+        memory = make_body_memory(MEMORY_MB)
+        other, waiting = (make_holding(memory, BodyHolder.PEER) for _ in range(2))
+        hold_received(other, BODY_MAX_BYTES)
+        task = await spawn(wait_to_hold, waiting, 1_000_000)
+        await sleep(0.2)
+        assert not waiting.held_bytes
+        release(other)
+        await task.join()
+        assert waiting.held_bytes == 1_000_000 * COPIES
+
+    run(main)
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -16,6 +16,9 @@
 CLIENTS = 60
 #: Low, so that a small crowd exceeds it.
 CONNECTIONS_MAX = 50
+#: So little that a crowd with short bodies fills the part that is kept for them.
+LOW_MEMORY_MB = 64
+SMALL_BODY_BYTES = 60_000
 #: Descriptors that a node needs without clients.
 OWN_DESCRIPTORS = 60
 #: Longer than any machine takes.
@@ -88,6 +91,28 @@
     assert peak_memory_bytes(node) <= MEMORY_BOUND_BYTES
 
 
+def test_stalled_requests_make_room_for_the_body_of_an_ordinary_one(tmp_path) -> None:
+    limits = {"memory_mb": LOW_MEMORY_MB, "caller_stall_s": 1000.0}
+    with Processes(tmp_path) as processes:
+        platform = PlatformNode(processes, tmp_path, limits)
+        serve(platform)
+        clients = 2 * CLIENTS
+        with Crowd(
+            platform.requests_port,
+            "/unsafe/",
+            Shape.PIECEWISE,
+            clients,
+            SMALL_BODY_BYTES,
+            complete_every=clients + 1,
+        ) as crowd:
+            crowd.send()
+            wait_until(
+                lambda: is_answered(platform, "/unsafe/", "POST", b"x" * SMALL_BODY_BYTES, "x"),
+                ANSWER_WITHIN_S,
+                "an ordinary request with a body to be answered",
+            )
+
+
 def test_crowd_of_connections_leaves_the_node_serving_within_its_descriptors(tmp_path) -> None:
     with Processes(tmp_path) as processes:
         platform = PlatformNode(processes, tmp_path, {"caller_connections": CONNECTIONS_MAX})
