Bound the connections of clients on the users' platform

Clients saw: connections that stay open take one descriptor each, without a limit but the process's own; a node without descriptors can neither accept nor call anybody.

Cause: limits.caller_connections holds for the project's own port only; the port of the users' platform was never counted. Class: a limit is kept at one port and not at the others that clients reach.

Change: both ports count connections.

--- a/src/pollenbay/callerfrontend.py
+++ b/src/pollenbay/callerfrontend.py
@@ -50,6 +50,7 @@
 
 Respond = Callable[[Node, Connection, HttpRequest], Awaitable[HttpResponse]]
 MayOverlap = Callable[[Node, HttpRequest], bool]
+ServeConnection = Callable[[Node, Socket], Awaitable[None]]
 
 
 class BadInputSource(Enum):
@@ -70,13 +71,18 @@
         """Return the number of open connections."""
         return self._connections
 
-    async def serve(self, node: Node, sock: Socket) -> None:
-        """Serve one connection until it closes; close it at once if the limit is reached."""
-        if self._connections >= node.settings.limits.caller_connections:
-            return
+    async def serve(self, node: Node, serve: ServeConnection, sock: Socket) -> None:
+        """Serve one connection until it closes.
+
+        At the limit, the connection that has been idle for longest makes room for it; if all are
+        busy, it is closed at once.
+        """
+        if self._connections >= node.settings.limits.caller_connections_max:
+            if not await node.watch.close_longest_idle():
+                return
         self._connections += 1
         try:
-            await serve_requests(node, sock, BadInputSource.CALLERS.value, _respond_to_caller)
+            await serve(node, sock)
         finally:
             self._connections -= 1
 
@@ -86,6 +92,11 @@
     return CallerConnections()
 
 
+async def serve_caller(node: Node, sock: Socket) -> None:
+    """Serve one connection of a caller until it closes."""
+    await serve_requests(node, sock, BadInputSource.CALLERS.value, _respond_to_caller)
+
+
 async def serve_target(node: Node, sock: Socket) -> None:
     """Serve one connection of the local target until it closes."""
     await serve_requests(node, sock, BadInputSource.OUTBOUND.value, _respond_to_target)
--- a/src/pollenbay/daemon.py
+++ b/src/pollenbay/daemon.py
@@ -17,7 +17,7 @@
 
 from pollenbay.adapter import Adapter, make_plain_adapter
 from pollenbay.admin import serve_admin
-from pollenbay.callerfrontend import make_caller_connections, serve_target
+from pollenbay.callerfrontend import make_caller_connections, serve_caller, serve_target
 from pollenbay.commands.adoption import adopt
 from pollenbay.commands.gossiping import run_membership
 from pollenbay.commands.lifecycle import LINGER_S, drain
@@ -117,7 +117,7 @@
     tasks = [
         node.ledger.run(),
         run_sweeper(node.ledger),
-        accept_streams(plain.callers, partial(make_caller_connections().serve, node)),
+        accept_streams(plain.callers, partial(make_caller_connections().serve, node, serve_caller)),
         accept_streams(plain.outbound, partial(serve_target, node)),
     ]
     return await _run(
--- a/src/pollenbay/platform/frontend.py
+++ b/src/pollenbay/platform/frontend.py
@@ -7,6 +7,7 @@
 
 from pollenbay.adapter import Adapter
 from pollenbay.budget import RetryRates
+from pollenbay.callerfrontend import make_caller_connections
 from pollenbay.node import Node
 from pollenbay.platform.checkins import make_check_ins, serve_check_ins, serve_readiness
 from pollenbay.platform.instance import make_instance_dialect
@@ -55,7 +56,7 @@
     """Return the tasks that serve requests, check-ins and readiness probes."""
     check_ins = make_check_ins(read_endpoint(settings.target))
     ports = (
-        (settings.requests, partial(serve_client, node)),
+        (settings.requests, partial(make_caller_connections().serve, node, serve_client)),
         (settings.check_ins, partial(serve_check_ins, check_ins, node)),
         (settings.readiness, partial(serve_readiness, node)),
     )
--- a/src/pollenbay/settings.py
+++ b/src/pollenbay/settings.py
@@ -90,6 +90,8 @@
         request is closed.
     :param memory_mb: megabytes that the process may use; bodies may take half of them. An upload
         that finds no room is refused as not run.
+    :param descriptors: maximum number of open descriptors, of which connections of callers may
+        take half; 0 if only `caller_connections` limits them.
     """
 
     body_bytes: int = BODY_LIMIT_BYTES
@@ -97,6 +99,14 @@
     caller_idle_s: float = CALLER_IDLE_TIMEOUT_S
     caller_stall_s: float = CALLER_STALL_TIMEOUT_S
     memory_mb: float = MEMORY_MB
+    descriptors: int = 0
+
+    @property
+    def caller_connections_max(self) -> int:
+        """Return the maximum number of concurrent connections of callers."""
+        if not self.descriptors:
+            return self.caller_connections
+        return min(self.caller_connections, self.descriptors // 2)
 
 
 class Settings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
@@ -213,6 +223,7 @@
     not_negative = {
         "drain_s": settings.drain_s,
         "leave_s": settings.leave_s,
+        "limits.descriptors": settings.limits.descriptors,
     }
     for key, value in not_negative.items():
         if not 0 <= value < inf:
--- a/src/pollenbay/watch.py
+++ b/src/pollenbay/watch.py
@@ -141,6 +141,14 @@
             wait.received_at = now
             wait.ends_at = min(now + stall_s, wait.limit_at)
 
+    async def close_longest_idle(self) -> bool:
+        """Close the connection that has sent nothing for longest while a request was awaited.
+
+        :returns: whether there was one.
+        """
+        ends = {task: wait.ends_at for task, wait in self._idle.items() if wait.closable}
+        return await self._close_first(ends)
+
     async def close_longest_stalled(self, now: float) -> bool:
         """Close the connection that has been stalled for longest in the middle of a request.
 
