Accept bodies as long as the users' configuration allows

Clients saw: 413 for a body of over 8 MiB, though the users' configuration allows 64 MiB.

Cause: the limit of the settings is the one of every other HTTP message, and nothing but it kept a node within its memory. Class: a limit that stands in for another one.

Change: limits.body_bytes is 64 MiB unless set, and messages between nodes hold such a body. The memory for bodies lets one body exceed its share while little else is held.

--- a/src/pollenbay/link.py
+++ b/src/pollenbay/link.py
@@ -25,7 +25,7 @@
 
 RECEIVE_BYTES = 65536
 #: Maximum message length; holds a body of the maximum size with its headers.
-MESSAGE_LIMIT_BYTES = 16 * 1024 * 1024
+MESSAGE_LIMIT_BYTES = 65 * 1024 * 1024
 LENGTH_PREFIX = Struct(">I")
 IDLE_LINKS_PER_ADDRESS_MAX = 64
 #: Maximum time to connect to another node; some round trips between regions. A host without power
--- a/src/pollenbay/settings.py
+++ b/src/pollenbay/settings.py
@@ -13,7 +13,6 @@
 from yaml import YAMLError, safe_load
 
 from pollenbay.bodymemory import MEMORY_MB
-from pollenbay.http1 import BODY_LIMIT_BYTES
 from pollenbay.ids import HostId, InstanceId, RegionId, ServiceName, ZoneId
 from pollenbay.table import TABLE_TIMEOUT_S
 from pollenbay.target import ANNOUNCEMENT_LEASE_S
@@ -22,6 +21,8 @@
 LEAVE_DELAY_S = 2.0
 CALLER_IDLE_TIMEOUT_S = 75.0
 CALLER_CONNECTIONS_MAX = 4096
+#: Bytes that a configuration of the users' platform allows for a body.
+BODY_LIMIT_BYTES = 64 * 1024 * 1024
 CALLER_STALL_TIMEOUT_S = 15.0
 PORT_MAX = 65535
 TOKEN_CHARS_MIN = 16
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -7,6 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from pollenbay.bodymemory import COPIES, MEMORY_MB, make_body_memory
 from pollenbay.ids import CallId
 from pollenbay.link import Link, LinkBrokenError, LinkMessageError
 from pollenbay.linkmessage import (
@@ -19,6 +20,7 @@
     reply_to,
 )
 from pollenbay.outcome import Answered, NotRun, Outcome, Unknown
+from pollenbay.settings import BODY_LIMIT_BYTES
 from pollenbay.states import Reason
 
 ANSWER_MESSAGE = ResponseMessage(CallId("c1"), 200, [(b"x-marker", b"m")], b"whole answer", 2)
@@ -71,6 +73,25 @@
         )
         assert run(receive_all, run(encode_all, *sent)) == list(sent)
 
+    def test_longest_body_passes_and_its_memory_is_given_back(self) -> None:
+        message = ResponseMessage(CallId("c1"), 200, [], b"x" * BODY_LIMIT_BYTES, 0)
+
+        async def main() -> None:
+            near, far = socketpair()
+            memory = make_body_memory(MEMORY_MB)
+            sender, receiver = Link(near), Link(far, memory)
+            sending = await spawn(sender.send, message)
+            received = await receiver.receive()
+            await sending.join()
+            assert received.body == message.body
+            assert memory.large_bytes >= COPIES * BODY_LIMIT_BYTES
+            receiver.forget_message()
+            assert memory.large_bytes == 0
+            await sender.close()
+            await receiver.close()
+
+        run(main)
+
     @given(OUTCOMES)
     def test_outcomes_are_unchanged_by_encoding(self, outcome: Outcome) -> None:
         (message,) = run(receive_all, run(encode_all, reply_to(outcome, CallId("c1"))))
