Leave processor time to others beside bodies in very small chunks

Clients saw: beside a crowd of 60 clients that send bodies in chunks of 16 bytes, an ordinary request took seconds; with longer bodies it would have taken longer than any client waits.

Cause: each chunk costs the same however short it is, and all that one read brings is processed in one go. Class: work that is bounded in bytes and not in steps.

A body in pieces of a few KiB never waits.

--- a/src/pollenbay/callerfrontend.py
+++ b/src/pollenbay/callerfrontend.py
@@ -13,7 +13,7 @@
 from pollenbay.call import CallProgress, CallRequest
 from pollenbay.codec import CodecError, decode_json
 from pollenbay.commands.announcing import apply_announcement
-from pollenbay.commands.bodymemory import hold, hold_received, release
+from pollenbay.commands.bodymemory import hold, hold_received, pace_piece, release
 from pollenbay.commands.entry import enter_from_caller, enter_from_target
 from pollenbay.http1 import HttpRequest, HttpRequestError, HttpResponse
 from pollenbay.httpserver import HttpServer
@@ -183,7 +183,11 @@
 
 
 async def _hold_body(node: Node, holding: BodyHolding, added_bytes: int) -> bool:
-    """Hold memory for more bytes of a request, if need be in place of one that has stalled."""
+    """Hold memory for more bytes of a request, if need be in place of one that has stalled.
+
+    Other tasks run in between, however short the pieces of a body are.
+    """
+    await pace_piece(holding, node.timer.now)
     if has_room(holding, added_bytes) or not await node.watch.close_longest_stalled(
         node.timer.now()
     ):
--- a/tests/test_bodymemory.py
+++ b/tests/test_bodymemory.py
@@ -1,19 +1,31 @@
 """Memory for bodies: within its limit, with a part for small ones, and given back whole."""
 
-from curio import run, sleep, spawn
+from time import monotonic
+
+from curio import TaskGroup, run, sleep, spawn
 from hypothesis import given
 from hypothesis import strategies as st
+from pytest import raises
 
 from pollenbay.bodymemory import (
     BYTES_PER_MB,
     COPIES,
+    PIECES_PER_TOKEN,
     SMALL_BODY_MAX_BYTES,
+    TOKENS_BURST,
+    TOKENS_PER_S,
     BodyHolding,
     BodyMemory,
     make_body_memory,
     make_holding,
 )
-from pollenbay.commands.bodymemory import hold, hold_received, release, wait_to_hold
+from pollenbay.commands.bodymemory import (
+    hold,
+    hold_received,
+    pace_piece,
+    release,
+    wait_to_hold,
+)
 from pollenbay.queries.bodymemory import ALONE_RATIO
 from pollenbay.states import BodyHolder
 
@@ -81,3 +93,28 @@
         assert waiting.held_bytes == 1_000_000 * COPIES
 
     run(main)
+
+
+def test_bodies_in_many_pieces_leave_time_to_others() -> None:
+    async def read(holding: BodyHolding, pieces: int) -> None:
+        for _ in range(pieces):
+            await pace_piece(holding, monotonic)
+
+    async def main() -> None:
+        memory = make_body_memory(MEMORY_MB)
+        holdings = [client_holding(memory) for _ in range(20)]
+        started_at = monotonic()
+        async with TaskGroup() as group:
+            for each in holdings:
+                await group.spawn(read, each, 10 * PIECES_PER_TOKEN)
+        tokens = len(holdings) * 10
+        assert tokens <= TOKENS_BURST + TOKENS_PER_S * (monotonic() - started_at)
+
+    run(main)
+
+
+def test_body_in_pieces_of_ordinary_length_never_waits() -> None:
+    holding = client_holding(make_body_memory(MEMORY_MB))
+    for _ in range(BODY_MAX_BYTES // 65_536):
+        with raises(StopIteration):
+            pace_piece(holding, lambda: 0.0).send(None)
