--- a/src/standins/instance.py
+++ b/src/standins/instance.py
@@ -51,6 +51,14 @@
     UNFRAMED = "unframed"
     #: The connection closes in the middle of the body.
     CUT = "cut"
+    #: The connection closes in the middle of the head, after as many bytes as ``cut`` says.
+    CUT_HEAD = "cut-head"
+    #: Header lines without end, until the caller closes.
+    ENDLESS_HEAD = "endless-head"
+    #: A body without end, which has no length, in chunks of `ENDLESS_PIECE_BYTES` or one byte.
+    ENDLESS_BODY = "endless-body"
+    ENDLESS_CHUNKS = "endless-chunks"
+    ENDLESS_SMALL_CHUNKS = "endless-small-chunks"
     #: The connection closes without a response.
     LOST = "lost"
     #: Bytes that are not an HTTP response.
@@ -80,6 +88,20 @@
 )
 
 
+ENDLESS_PIECE_BYTES = 65536
+CHUNKED_HEADER = b"transfer-encoding: chunked\r\n"
+#: End of the head and the piece that is repeated, of each endless response.
+ENDLESS_RESPONSES = {
+    ResponseFault.ENDLESS_HEAD: (b"", b"x-more: " + b"x" * 100 + b"\r\n"),
+    ResponseFault.ENDLESS_BODY: (b"\r\n", b"x" * ENDLESS_PIECE_BYTES),
+    ResponseFault.ENDLESS_CHUNKS: (
+        CHUNKED_HEADER + b"\r\n",
+        b"%x\r\n%s\r\n" % (ENDLESS_PIECE_BYTES, b"x" * ENDLESS_PIECE_BYTES),
+    ),
+    ResponseFault.ENDLESS_SMALL_CHUNKS: (CHUNKED_HEADER + b"\r\n", b"1\r\nx\r\n" * 10_000),
+}
+
+
 class ExecutedRequest(Struct):
     """A request that was executed.
 
@@ -163,7 +185,13 @@
         headers = [(REQUEST_HEADER, name), (SIGNATURE_HEADER, SIGNATURE)]
         body = b"answer to " + name
         head = b"HTTP/1.1 200 OK\r\n" + b"".join(b"%s: %s\r\n" % pair for pair in headers)
+        if fault in ENDLESS_RESPONSES:
+            await _send_without_end(sock, head, *ENDLESS_RESPONSES[fault])
         match fault:
+            case ResponseFault.CUT_HEAD:
+                head += b"content-length: %d\r\n\r\n" % len(body)
+                await sock.sendall(head[: int(_query_of(request)["cut"][0])])
+                return False
             case ResponseFault.LOST:
                 return False
             case ResponseFault.NOISE:
@@ -189,6 +217,16 @@
         return await server.write_response(HttpResponse(200, headers, body))
 
 
+async def _send_without_end(sock: Socket, head: bytes, head_end: bytes, piece: bytes) -> None:
+    """Send a response that has no end, until the caller closes.
+
+    :raises OSError: when it does.
+    """
+    await sock.sendall(head + head_end)
+    while True:
+        await sock.sendall(piece)
+
+
 def repeated_refusal(request: HttpRequest) -> bytes:
     """Return the refusal that is written once more before the response to the next request."""
     fault = _fault_of(_query_of(request))
