Answer calls that outlast a planned stop

From the reports of other operators: requests were cut with no answer at the end of the grace. Here a request is refused as not run once others know of the stop, 2.4 s into 6, and one that came before has 2.9 s more; but one that takes longer lost its connection without an answer.

Cause: the end of the stop cancelled the tasks of the connections, where a second signal cancels the calls and lets their callers have an outcome. Class: two ways to end with different care.

Evidence: test_request_that_outlasts_a_planned_stop_gets_an_answer failed before.

Nobody is cut earlier than before.

--- a/src/pollenbay/commands/lifecycle.py
+++ b/src/pollenbay/commands/lifecycle.py
@@ -55,7 +55,8 @@
 
     Calls that arrive while the announcement spreads are served; after `leave_s` they are refused
     as not run. The node's row is removed from the table concurrently, since an unresponsive table
-    must not delay the stop. Responses of claimed calls are written before the node stops.
+    must not delay the stop. Responses of claimed calls are written before the node stops. Calls
+    that outlast the stop are cancelled, so that their callers get an outcome.
     """
     change_state(node, NodeState.DRAINING)
     announce_leaving(node.membership)
@@ -67,6 +68,8 @@
         finished = True
     except TaskTimeout:
         finished = False
+        LOG.warning("calls outlast the stop", extra={"in_progress": node.watch.in_progress})
+        await node.watch.cancel_all()
     finished = await drain_ledger(node.ledger, RECORD_WAIT_S) == 0 and finished
     await sleep(LINGER_S)
     await withdrawal.cancel()
--- a/tests/test_hostile_instances.py
+++ b/tests/test_hostile_instances.py
@@ -6,7 +6,7 @@
 from http.client import HTTPException
 from time import sleep
 
-from harness import Processes, send
+from harness import Processes, send, wait_until
 from platform_node import PlatformNode, make_route
 from pytest import fixture, mark
 from test_hostile_clients import (
@@ -105,3 +105,15 @@
     }
     assert answered
     assert ran == answered
+
+
+def test_request_that_outlasts_a_planned_stop_gets_an_answer(platform: PlatformNode) -> None:
+    node = platform.serve(make_route("/unsafe/", "unsafe", timeout_ms=30_000))
+    with ThreadPoolExecutor(1) as pool:
+        answer = pool.submit(
+            platform.send_request, "/unsafe/?work_s=8", "POST", body=b"x", name="long"
+        )
+        wait_until(lambda: platform.has_started("long"), ANSWER_WITHIN_S, "the request to run")
+        node.terminate()
+        assert answer.result().status in (502, 504)
+    node.wait()
