Find the configuration behind any number of the operator's rows

Found while looking for the causes of configuration that comes late, not reported: a node read the first ten rows of the operator's table, so a configuration behind ten others was never in force.

Evidence: test_configuration_is_found_behind_other_rows_of_the_operator failed before.

Change: the read begins at the configuration's key and asks for one row.

--- a/src/pollenbay/platform/store.py
+++ b/src/pollenbay/platform/store.py
@@ -192,7 +192,8 @@
 ) -> Result[_FoundRows, TableError]:
     """Return the current configuration, or the changes after a position."""
     if position is None:
-        target, timeout_s = f"/rows-get?table={OPERATOR_TABLE}&part=&limit=10", STORE_TIMEOUT_S
+        query = f"table={OPERATOR_TABLE}&part=&from={CONFIG_KEY}&limit=1"
+        target, timeout_s = f"/rows-get?{query}", STORE_TIMEOUT_S
     else:
         query = f"table={OPERATOR_TABLE}&after={position.version}&wait_ms={wait_s * 1000:.0f}"
         target, timeout_s = f"/rows-feed?{query}", wait_s + FEED_RESPONSE_SLACK_S
--- a/tests/store_nodes.py
+++ b/tests/store_nodes.py
@@ -35,10 +35,10 @@
         document = make_config(version, make_route("/safe/"))
         assert send(self.store.port, "/operator/config", "POST", document).status == 200
 
-    def write_other_rows(self, count: int) -> None:
+    def write_other_rows(self, count: int, prefix: str = "other-") -> None:
         """Write rows beside the configuration, which raises the version of the store."""
         for number in range(count):
-            send(self.store.port, f"/operator/other-{number}", "POST", b"{}")
+            send(self.store.port, f"/operator/{prefix}{number}", "POST", b"{}")
 
     def control_store(self, mode: str) -> None:
         """Set a fault of the store, or make or restore a copy of it."""
--- a/tests/test_configuration_in_force.py
+++ b/tests/test_configuration_in_force.py
@@ -27,6 +27,16 @@
         yield nodes
 
 
+class TestOtherRows:
+    def test_configuration_is_found_behind_other_rows_of_the_operator(
+        self, deployment: StoreNodes
+    ) -> None:
+        deployment.write_other_rows(12, "a-")
+        nodes = deployment.start(1)
+        deployment.publish(2)
+        wait_for_version(nodes, 2, APPLY_S)
+
+
 class TestSilentConnections:
     def test_version_is_in_force_in_time_after_all_connections_to_the_store_went_silent(
         self, deployment: StoreNodes
