--- a/src/pollenbay/reference.py
+++ b/src/pollenbay/reference.py
@@ -32,9 +32,11 @@
 
 Served at `/metrics` on the `admin` port, without a token. Label values are bounded: classes,
 outcomes and reasons are enumerations, and callers past the first 50 share the label `other`.
-Counters of claims (`pollenbay_claims_*`), gossip (`pollenbay_gossip_*`, `pollenbay_traffic_*`) and
-calls whose caller has left (`pollenbay_watch_left_total`) are exported too. This page is generated
-from the list of instruments by `python -m pollenbay.reference metrics`.
+Counters of claims (`pollenbay_claims_*`), gossip (`pollenbay_gossip_*`, `pollenbay_traffic_*`),
+calls to the table (`pollenbay_table_service_*`), bodies for which there was no memory
+(`pollenbay_body_memory_*`) and calls whose caller has left (`pollenbay_watch_left_total`) are
+exported too. This page is generated from the list of instruments by
+`python -m pollenbay.reference metrics`.
 
 | name | kind | labels | meaning |
 | --- | --- | --- | --- |
