Fewer calls for holding the memory of short bodies

Short replies on links are no longer counted, a response is held and paced in one call, and a message is looked at for its length only when it is incomplete.

--- a/src/pollenbay/bodymemory.py
+++ b/src/pollenbay/bodymemory.py
@@ -15,6 +15,8 @@
 SMALL_BODY_MAX_BYTES = 64 * 1024
 #: Copies of a body that exist while it is read, encoded or sent.
 COPIES = 2
+#: Held bytes above which a body counts as large.
+LARGE_HELD_BYTES = SMALL_BODY_MAX_BYTES * COPIES
 #: Pieces of a body that are processed for one token.
 PIECES_PER_TOKEN = 128
 #: Tokens per second for all bodies together. Each piece of a body, however short, costs some
@@ -62,11 +64,6 @@
         self.held_bytes = 0
         self.pieces = 0
 
-    @property
-    def is_large(self) -> bool:
-        """Return whether the body counts as large."""
-        return self.held_bytes > SMALL_BODY_MAX_BYTES * COPIES
-
 
 def make_body_memory(memory_mb: float) -> BodyMemory:
     """Return the memory for bodies in a process.
--- a/src/pollenbay/commands/bodymemory.py
+++ b/src/pollenbay/commands/bodymemory.py
@@ -4,7 +4,8 @@
 
 from curio import sleep
 
-from pollenbay.bodymemory import COPIES, PIECES_PER_TOKEN, BodyHolding
+from pollenbay.bodymemory import COPIES, LARGE_HELD_BYTES, PIECES_PER_TOKEN, BodyHolding
+from pollenbay.bucket import TokenBucket
 from pollenbay.queries.bodymemory import has_room
 
 #: Period at which a message waits for memory that others give back.
@@ -43,9 +44,25 @@
     :param clock: returns monotonic seconds.
     """
     holding.pieces += 1
-    if holding.pieces % PIECES_PER_TOKEN:
-        return
-    tokens = holding.memory.tokens
+    if holding.pieces % PIECES_PER_TOKEN == 0:
+        await _wait_for_token(holding.memory.tokens, clock)
+
+
+async def hold_paced(holding: BodyHolding, clock: Callable[[], float], added_bytes: int) -> bool:
+    """Hold memory for a piece of a body as `pace_piece` and `wait_to_hold` do.
+
+    :param clock: returns monotonic seconds.
+    """
+    holding.pieces += 1
+    if holding.pieces % PIECES_PER_TOKEN == 0:
+        await _wait_for_token(holding.memory.tokens, clock)
+    if not has_room(holding, added_bytes):
+        return await wait_to_hold(holding, added_bytes)
+    _change(holding, holding.held_bytes + added_bytes * COPIES)
+    return True
+
+
+async def _wait_for_token(tokens: TokenBucket, clock: Callable[[], float]) -> None:
     tokens.refill(clock())
     while not tokens.spend():
         await sleep(TOKEN_CHECK_PERIOD_S)
@@ -60,13 +77,13 @@
 
 
 def _change(holding: BodyHolding, held_bytes: int) -> None:
-    _count(holding, -holding.held_bytes)
+    memory = holding.memory
+    if holding.held_bytes > LARGE_HELD_BYTES:
+        memory.large_bytes -= holding.held_bytes
+    else:
+        memory.small_bytes -= holding.held_bytes
     holding.held_bytes = held_bytes
-    _count(holding, held_bytes)
-
-
-def _count(holding: BodyHolding, change: int) -> None:
-    if holding.is_large:
-        holding.memory.large_bytes += change
+    if held_bytes > LARGE_HELD_BYTES:
+        memory.large_bytes += held_bytes
     else:
-        holding.memory.small_bytes += change
+        memory.small_bytes += held_bytes
--- a/src/pollenbay/link.py
+++ b/src/pollenbay/link.py
@@ -16,6 +16,7 @@
 from pollenbay.linkmessage import AnyLinkMessage, ProgressMessage
 from pollenbay.states import BodyHolder
 from pollenbay.stream import (
+    JOINED_BYTES_MAX,
     StreamConnectError,
     open_stream,
     peer_has_closed,
@@ -90,8 +91,12 @@
 
         :raises LinkBrokenError: if the connection broke.
         """
+        prefix, data = _encode_frame(message)
         try:
-            await send_parts(self._sock, _encode_frame(message))
+            if len(data) <= JOINED_BYTES_MAX:
+                await self._sock.sendall(prefix + data)
+            else:
+                await send_parts(self._sock, [prefix, data])
         except OSError as error:
             raise LinkBrokenError(str(error)) from error
 
@@ -109,7 +114,8 @@
             message = self._decode_buffered()
             if message is not None:
                 return message
-            await self._hold_long_message()
+            if len(self._received) >= LENGTH_PREFIX.size:
+                await self._hold_long_message()
             data = await self._receive_bytes()
             if not data:
                 return None
@@ -120,7 +126,8 @@
 
         A full send buffer counts as usable: the other node still has bytes to read.
         """
-        data = b"".join(_encode_frame(ProgressMessage(call_id)))
+        prefix, data = _encode_frame(ProgressMessage(call_id))
+        data = prefix + data
         try:
             return write(self._sock.fileno(), data) == len(data)
         except BlockingIOError:
@@ -139,7 +146,7 @@
             release(self._holding)
 
     async def _hold_long_message(self) -> None:
-        if self._holding is None or len(self._received) < LENGTH_PREFIX.size:
+        if self._holding is None:
             return
         (length,) = LENGTH_PREFIX.unpack_from(self._received)
         if length > SMALL_BODY_MAX_BYTES and not self._holding.held_bytes:
@@ -220,9 +227,9 @@
     return LinkPool(memory)
 
 
-def _encode_frame(message: AnyLinkMessage) -> list[bytes]:
+def _encode_frame(message: AnyLinkMessage) -> tuple[bytes, bytes]:
     data = ENCODER.encode(message)
-    return [LENGTH_PREFIX.pack(len(data)), data]
+    return LENGTH_PREFIX.pack(len(data)), data
 
 
 def _decode(data: memoryview) -> AnyLinkMessage:
--- a/src/pollenbay/linkfrontend.py
+++ b/src/pollenbay/linkfrontend.py
@@ -3,7 +3,7 @@
 from curio import Task, current_task, sleep
 from curio.io import Socket
 
-from pollenbay.bodymemory import make_holding
+from pollenbay.bodymemory import SMALL_BODY_MAX_BYTES, make_holding
 from pollenbay.call import CallProgress
 from pollenbay.commands.bodymemory import hold_received, release
 from pollenbay.commands.serving import serve
@@ -52,16 +52,18 @@
         if now - feedback_sent_at >= FEEDBACK_INTERVAL_MIN_S:
             reply.feedback = make_feedback(node, call_message.name, now)
             feedback_sent_at = now
-        await _send_reply(node, link, reply)
+        if isinstance(reply, ResponseMessage) and len(reply.body) > SMALL_BODY_MAX_BYTES:
+            await _send_long_reply(node, link, reply)
+        else:
+            await link.send(reply)
         served += 1
         if served % CALLS_PER_YIELD == 0:
             await sleep(0)
 
 
-async def _send_reply(node: Node, link: Link, reply: ReplyMessage) -> None:
+async def _send_long_reply(node: Node, link: Link, reply: ResponseMessage) -> None:
     holding = make_holding(node.body_memory, BodyHolder.PEER)
-    if isinstance(reply, ResponseMessage):
-        hold_received(holding, len(reply.body))
+    hold_received(holding, len(reply.body))
     try:
         await link.send(reply)
     finally:
--- a/src/pollenbay/queries/bodymemory.py
+++ b/src/pollenbay/queries/bodymemory.py
@@ -5,7 +5,7 @@
 would be lost otherwise.
 """
 
-from pollenbay.bodymemory import COPIES, SMALL_BODY_MAX_BYTES, BodyHolding
+from pollenbay.bodymemory import COPIES, LARGE_HELD_BYTES, BodyHolding
 from pollenbay.states import BodyHolder
 
 #: Ratio of the memory that is kept for small bodies.
@@ -24,9 +24,10 @@
     """
     memory = holding.memory
     added = added_bytes * COPIES
-    if holding.held_bytes + added <= SMALL_BODY_MAX_BYTES * COPIES:
+    if holding.held_bytes + added <= LARGE_HELD_BYTES:
         return memory.small_bytes + added <= memory.limit_bytes * SMALL_RATIO
-    others = memory.large_bytes - (holding.held_bytes if holding.is_large else 0)
+    own = holding.held_bytes if holding.held_bytes > LARGE_HELD_BYTES else 0
+    others = memory.large_bytes - own
     if others <= memory.limit_bytes * ALONE_RATIO:
         return True
     limit = memory.limit_bytes * (1.0 - SMALL_RATIO) * LARGE_RATIOS[holding.holder]
--- a/src/pollenbay/target.py
+++ b/src/pollenbay/target.py
@@ -8,13 +8,12 @@
 
 from pollenbay.bodymemory import (
     MEMORY_MB,
-    BodyHolding,
     BodyMemory,
     make_body_memory,
     make_holding,
 )
 from pollenbay.call import Call
-from pollenbay.commands.bodymemory import pace_piece, release, wait_to_hold
+from pollenbay.commands.bodymemory import hold_paced, release
 from pollenbay.dialect import DialectError, TargetDialect
 from pollenbay.http1 import (
     HoldBody,
@@ -205,7 +204,7 @@
         holding = make_holding(self._memory, BodyHolder.TARGET)
         try:
             response = await _exchange(
-                client, request, timeout_s, matches, partial(_hold_response, holding, clock)
+                client, request, timeout_s, matches, partial(hold_paced, holding, clock)
             )
             outcome = _parse_outcome(dialect, call, response)
         except BaseException:
@@ -228,13 +227,6 @@
         raise TargetResponseError(Reason.ANSWER_BROKEN) from error
 
 
-async def _hold_response(
-    holding: BodyHolding, clock: Callable[[], float], added_bytes: int
-) -> bool:
-    await pace_piece(holding, clock)
-    return await wait_to_hold(holding, added_bytes)
-
-
 async def _exchange(
     client: HttpClient,
     request: HttpRequest,
