Close only clients' connections that have stalled by themselves

Found in reading the change: a request whose reader waits for its share of processor time looked stalled, and could be closed for another one after 1 s or by itself after 15 s; and making room could close connections for check-ins and readiness, which the limit does not count.

Change: a connection that the node does not read for now has not stalled; only connections at the ports of clients may be closed in favour of others. limits.memory_mb is said to be read at the start.

--- a/src/pollenbay/callerfrontend.py
+++ b/src/pollenbay/callerfrontend.py
@@ -13,7 +13,13 @@
 from pollenbay.call import CallProgress, CallRequest
 from pollenbay.codec import CodecError, decode_json
 from pollenbay.commands.announcing import apply_announcement
-from pollenbay.commands.bodymemory import hold, hold_received, pace_piece, release
+from pollenbay.commands.bodymemory import (
+    count_piece,
+    hold,
+    hold_received,
+    release,
+    wait_for_token,
+)
 from pollenbay.commands.entry import enter_from_caller, enter_from_target
 from pollenbay.http1 import HttpRequest, HttpRequestError, HttpResponse
 from pollenbay.httpserver import HttpServer
@@ -94,7 +100,9 @@
 
 async def serve_caller(node: Node, sock: Socket) -> None:
     """Serve one connection of a caller until it closes."""
-    await serve_requests(node, sock, BadInputSource.CALLERS.value, _respond_to_caller)
+    await serve_requests(
+        node, sock, BadInputSource.CALLERS.value, _respond_to_caller, closable=True
+    )
 
 
 async def serve_target(node: Node, sock: Socket) -> None:
@@ -113,12 +121,15 @@
     source: str,
     respond: Respond,
     may_overlap: MayOverlap = never_overlaps,
+    closable: bool = False,
 ) -> None:
     """Respond to the requests of one connection, in their order, until it closes.
 
     :param source: label under which bad input is counted.
     :param may_overlap: returns whether a request may run beside earlier and later ones. Any other
         request runs alone: after all before it and before all behind it.
+    :param closable: whether the connection may be closed in favour of another one while it waits
+        for a request and has no calls.
     """
     task = await current_task()
     pipeline = make_pipeline(task)
@@ -132,7 +143,7 @@
     holding = make_holding(node.body_memory, BodyHolder.CLIENT)
     try:
         while True:
-            request = await _read_request(node, server, pipeline, task, source, holding)
+            request = await _read_request(node, server, pipeline, task, source, holding, closable)
             if request is None or pipeline.closed:
                 return
             work = partial(_respond, node, sock, request, respond, holding)
@@ -182,17 +193,20 @@
     return CALL_LIMIT_S if pipeline.calls else 0.0
 
 
-async def _hold_body(node: Node, holding: BodyHolding, added_bytes: int) -> bool:
+async def _hold_body(
+    node: Node, task: Task, pipeline: Pipeline, holding: BodyHolding, added_bytes: int
+) -> bool:
     """Hold memory for more bytes of a request, if need be in place of one that has stalled.
 
     Other tasks run in between, however short the pieces of a body are.
     """
-    await pace_piece(holding, node.timer.now)
-    if has_room(holding, added_bytes) or not await node.watch.close_longest_stalled(
-        node.timer.now()
-    ):
-        return hold(holding, added_bytes)
-    await sleep(0)
+    if count_piece(holding):
+        node.watch.record_pause(task)
+        await wait_for_token(node.body_memory, node.timer.now)
+        _record_bytes(node, task, pipeline)
+    if not has_room(holding, added_bytes):
+        if await node.watch.close_longest_stalled(node.timer.now()):
+            await sleep(0)
     return hold(holding, added_bytes)
 
 
@@ -203,12 +217,13 @@
     task: Task,
     source: str,
     holding: BodyHolding,
+    closable: bool,
 ) -> HttpRequest | None:
     """Return the next request, or None at the end of the connection."""
     ends_at = node.timer.now() + node.settings.limits.caller_idle_s + _call_time_s(pipeline)
     try:
-        with node.watch.watching_idle(task, ends_at, closable=not pipeline.calls):
-            request = await server.read_request(partial(_hold_body, node, holding))
+        with node.watch.watching_idle(task, ends_at, closable and not pipeline.calls):
+            request = await server.read_request(partial(_hold_body, node, task, pipeline, holding))
     except HttpRequestError as error:
         release(holding)
         node.metrics.record_bad_input(source)
--- a/src/pollenbay/commands/bodymemory.py
+++ b/src/pollenbay/commands/bodymemory.py
@@ -4,8 +4,13 @@
 
 from curio import sleep
 
-from pollenbay.bodymemory import COPIES, LARGE_HELD_BYTES, PIECES_PER_TOKEN, BodyHolding
-from pollenbay.bucket import TokenBucket
+from pollenbay.bodymemory import (
+    COPIES,
+    LARGE_HELD_BYTES,
+    PIECES_PER_TOKEN,
+    BodyHolding,
+    BodyMemory,
+)
 from pollenbay.queries.bodymemory import has_room
 
 #: Period at which a message waits for memory that others give back.
@@ -38,37 +43,36 @@
     return True
 
 
-async def pace_piece(holding: BodyHolding, clock: Callable[[], float]) -> None:
-    """Count one piece of a body, and wait if all bodies together come in too many of them.
+def count_piece(holding: BodyHolding) -> bool:
+    """Count one piece of a body and return whether its reader has to wait for a token."""
+    holding.pieces += 1
+    return holding.pieces % PIECES_PER_TOKEN == 0
+
+
+async def wait_for_token(memory: BodyMemory, clock: Callable[[], float]) -> None:
+    """Wait for the next token, so that bodies in many pieces leave time to others.
 
     :param clock: returns monotonic seconds.
     """
-    holding.pieces += 1
-    if holding.pieces % PIECES_PER_TOKEN == 0:
-        await _wait_for_token(holding.memory.tokens, clock)
+    memory.tokens.refill(clock())
+    while not memory.tokens.spend():
+        await sleep(TOKEN_CHECK_PERIOD_S)
+        memory.tokens.refill(clock())
 
 
 async def hold_paced(holding: BodyHolding, clock: Callable[[], float], added_bytes: int) -> bool:
-    """Hold memory for a piece of a body as `pace_piece` and `wait_to_hold` do.
+    """Hold memory for a piece of a body, after waiting for a token and for room if need be.
 
     :param clock: returns monotonic seconds.
     """
-    holding.pieces += 1
-    if holding.pieces % PIECES_PER_TOKEN == 0:
-        await _wait_for_token(holding.memory.tokens, clock)
+    if count_piece(holding):
+        await wait_for_token(holding.memory, clock)
     if not has_room(holding, added_bytes):
         return await wait_to_hold(holding, added_bytes)
     _change(holding, holding.held_bytes + added_bytes * COPIES)
     return True
 
 
-async def _wait_for_token(tokens: TokenBucket, clock: Callable[[], float]) -> None:
-    tokens.refill(clock())
-    while not tokens.spend():
-        await sleep(TOKEN_CHECK_PERIOD_S)
-        tokens.refill(clock())
-
-
 def release(holding: BodyHolding) -> None:
     """Give back all memory of a holding."""
     if holding.held_bytes:
--- a/src/pollenbay/platform/requests.py
+++ b/src/pollenbay/platform/requests.py
@@ -50,7 +50,7 @@
 
 async def serve_client(node: Node, sock: Socket) -> None:
     """Serve one connection of a client or of the local instance until it is closed."""
-    await serve_requests(node, sock, BAD_INPUT_SOURCE, respond, may_overlap)
+    await serve_requests(node, sock, BAD_INPUT_SOURCE, respond, may_overlap, closable=True)
 
 
 def may_overlap(node: Node, request: HttpRequest) -> bool:
--- a/src/pollenbay/settings.py
+++ b/src/pollenbay/settings.py
@@ -89,8 +89,8 @@
     :param caller_idle_s: seconds after which an idle connection is closed.
     :param caller_stall_s: seconds without a byte after which a connection in the middle of a
         request is closed.
-    :param memory_mb: megabytes that the process may use; bodies may take half of them. An upload
-        that finds no room is refused as not run.
+    :param memory_mb: megabytes that the process may use; bodies may take half of them, and an
+        upload that finds no room is refused as not run. Read at the start.
     :param descriptors: maximum number of open descriptors, of which connections of callers may
         take half; 0 if only `caller_connections` limits them.
     """
--- a/src/pollenbay/watch.py
+++ b/src/pollenbay/watch.py
@@ -120,7 +120,7 @@
             return NotRun(Reason.DRAINING)
 
     def watching_idle(
-        self, task: Task, ends_at: float, closable: bool = True
+        self, task: Task, ends_at: float, closable: bool = False
     ) -> ScopedEntry[Task, RequestWait]:
         """Register a connection as waiting for a request for the length of the block.
 
@@ -141,6 +141,13 @@
             wait.received_at = now
             wait.ends_at = min(now + stall_s, wait.limit_at)
 
+    def record_pause(self, task: Task) -> None:
+        """Record that this node does not read from a connection for now, so it has not stalled."""
+        wait = self._idle.get(task)
+        if wait is not None:
+            wait.received_at = None
+            wait.ends_at = wait.limit_at
+
     async def close_longest_idle(self) -> bool:
         """Close the connection that has sent nothing for longest while a request was awaited.
 
--- a/tests/test_bodymemory.py
+++ b/tests/test_bodymemory.py
@@ -21,8 +21,8 @@
 )
 from pollenbay.commands.bodymemory import (
     hold,
+    hold_paced,
     hold_received,
-    pace_piece,
     release,
     wait_to_hold,
 )
@@ -98,7 +98,7 @@
 def test_bodies_in_many_pieces_leave_time_to_others() -> None:
     async def read(holding: BodyHolding, pieces: int) -> None:
         for _ in range(pieces):
-            await pace_piece(holding, monotonic)
+            await hold_paced(holding, monotonic, 1)
 
     async def main() -> None:
         memory = make_body_memory(MEMORY_MB)
@@ -117,4 +117,4 @@
     holding = client_holding(make_body_memory(MEMORY_MB))
     for _ in range(BODY_MAX_BYTES // 65_536):
         with raises(StopIteration):
-            pace_piece(holding, lambda: 0.0).send(None)
+            hold_paced(holding, lambda: 0.0, 65_536).send(None)
