--- a/src/pollenbay/table.py
+++ b/src/pollenbay/table.py
@@ -186,11 +186,6 @@
         """Return the counters of calls."""
         return self._counts
 
-    @property
-    def generation(self) -> TableGeneration | None:
-        """Return the generation that the last response stated; None before the first."""
-        return self._generation
-
     async def get(self, key: RowKey) -> Result[Row | None, TableError]:
         """Read one row; `Ok(None)` if it is absent."""
         result = await self._read(self._encoding.row_target(key))
--- a/tests/table_double.py
+++ b/tests/table_double.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from pollenbay.badrows import make_bad_rows
-from pollenbay.ids import RowKey, RowVersion, TableGeneration
+from pollenbay.ids import RowKey, RowVersion
 from pollenbay.table import (
     Check,
     Row,
@@ -54,7 +54,6 @@
         self.reads = 0
         self.bad_rows = make_bad_rows()
         self.counts = TableCounts()
-        self.generation: TableGeneration | None = None
 
     async def get(self, key: RowKey) -> Result[Row | None, TableError]:
         """Read one row."""
