Run crowds of connections one at a time; a long body through two nodes

make test runs tests marked alone after all others, one by one; the others run side by side as before, and both parts have to pass.

--- a/Makefile
+++ b/Makefile
@@ -12,11 +12,13 @@
 	$(VENV)/bin/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
 	touch $@
 
-# Tests that run side by side; each starts what it needs on ports of its own.
+# Tests that run side by side; each starts what it needs on ports of its own. Those marked alone
+# follow one at a time.
 TEST_WORKERS ?= 4
 
 test: setup
-	$(PYTHON) -m pytest -r xX -n $(TEST_WORKERS) --dist worksteal
+	$(PYTHON) -m pytest -r xX -n $(TEST_WORKERS) --dist worksteal -m "not long and not alone"
+	$(PYTHON) -m pytest -r xX -m "alone and not long"
 
 # All faults of hosts, zones and pairs; `make test` leaves out those marked long.
 faults: setup
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -8,10 +8,12 @@
 from pathlib import Path
 
 from crowd import BODY_BYTES, Crowd, Shape
-from harness import Process, Processes, wait_until
-from platform_node import PlatformNode, make_route
+from harness import ADDRESS, Process, Processes, free_port, send, wait_until
+from platform_node import HOST, PlatformNode, make_route
 from pytest import fixture, mark
 
+pytestmark = mark.alone
+
 MEMORY_BOUND_BYTES = 256_000_000
 CLIENTS = 60
 #: Low, so that a small crowd exceeds it.
@@ -137,6 +139,36 @@
     assert peak_memory_bytes(node) <= MEMORY_BOUND_BYTES
 
 
+def test_large_body_within_the_limits_passes_two_nodes_in_calm(tmp_path) -> None:
+    with Processes(tmp_path) as processes:
+        platform = PlatformNode(processes, tmp_path)
+        node = serve(platform)
+        entry, port = start_entry(processes, platform)
+        wait_until(lambda: post(platform, port, b"x") == 200, ANSWER_WITHIN_S, "the entry to serve")
+        assert post(platform, port, b"x" * LARGE_BODY_BYTES) == 200
+        for process in (node, entry):
+            assert peak_memory_bytes(process) <= MEMORY_BOUND_BYTES
+
+
+def start_entry(processes: Processes, platform: PlatformNode) -> tuple[Process, int]:
+    """Start a node beside an instance of another service and return it with its client port."""
+    settings = platform.settings()
+    port = free_port()
+    settings["instance"] = settings["host"] = "node-2"
+    settings["service"] = "other"
+    settings["platform"]["requests"] = f"{ADDRESS}:{port}"
+    settings["platform"]["readiness"] = f"{ADDRESS}:{free_port()}"
+    settings["platform"]["check_ins"] = f"{ADDRESS}:{free_port()}"
+    return processes.start_node("entry", settings), port
+
+
+def post(platform: PlatformNode, port: int, body: bytes) -> int:
+    """Send a request at a port beside a check-in of the instance and return its status."""
+    platform.check_in()
+    headers = {"host": HOST, "x-pollenbay-request-id": "entry"}
+    return send(port, "/unsafe/", "POST", body, headers, ANSWER_WITHIN_S).status
+
+
 def test_body_of_a_crowd_is_served_in_calm(platform: PlatformNode) -> None:
     serve(platform)
     body = b"x" * BODY_BYTES
--- a/tests/test_hostile_instances.py
+++ b/tests/test_hostile_instances.py
@@ -16,6 +16,8 @@
     peak_memory_bytes,
 )
 
+pytestmark = mark.alone
+
 #: Requests at once, and slots of the instance, so that all of them run.
 REQUESTS = 60
 CAPACITY = {"service": "stock", "version": "v1", "zone": "z1", "capacity": 2 * REQUESTS}
