Test of clients that do not read long answers

What a node holds for its clients counts in both directions, so the crowd also asks for answers of 8 MB and does not read them.

--- a/src/standins/instance.py
+++ b/src/standins/instance.py
@@ -1,7 +1,8 @@
 """Stand-in for an instance on the users' platform: signs its responses or injects faults.
 
-In a request's query ``spoil`` selects a fault, see `ResponseFault`, and ``work_s`` sets the run
-time in seconds. ``GET /log`` on the control port lists the executed requests.
+In a request's query ``spoil`` selects a fault, see `ResponseFault`, ``work_s`` sets the run time in
+seconds and ``answer_bytes`` the least length of the body. ``GET /log`` on the control port lists
+the executed requests.
 """
 
 from enum import Enum
@@ -184,6 +185,7 @@
         name = header_value(request.headers, REQUEST_HEADER) or b""
         headers = [(REQUEST_HEADER, name), (SIGNATURE_HEADER, SIGNATURE)]
         body = b"answer to " + name
+        body = body.ljust(int(_query_of(request).get("answer_bytes", ["0"])[0]), b".")
         head = b"HTTP/1.1 200 OK\r\n" + b"".join(b"%s: %s\r\n" % pair for pair in headers)
         if fault in ENDLESS_RESPONSES:
             await _send_without_end(sock, head, *ENDLESS_RESPONSES[fault])
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -6,16 +6,19 @@
 
 from collections.abc import Iterator
 from pathlib import Path
+from socket import create_connection
 
 from crowd import BODY_BYTES, Crowd, Shape
 from harness import ADDRESS, Process, Processes, free_port, send, wait_until
-from platform_node import HOST, PlatformNode, make_route
+from platform_node import HOST, SERVICE, PlatformNode, make_route
 from pytest import fixture, mark
 
 pytestmark = mark.alone
 
 MEMORY_BOUND_BYTES = 256_000_000
 CLIENTS = 60
+#: Slots of the instance for all of them at once.
+MANY_SLOTS = {"service": SERVICE, "version": "v1", "zone": "z1", "capacity": 2 * CLIENTS}
 #: Low, so that a small crowd exceeds it.
 CONNECTIONS_MAX = 50
 #: So little that a crowd with short bodies fills the part that is kept for them.
@@ -26,6 +29,8 @@
 #: Longer than any machine takes.
 ANSWER_WITHIN_S = 60.0
 ROUTE_TIMEOUT_MS = 30_000
+#: Long answers that find no memory are given up by then.
+LONG_ANSWER_TIMEOUT_MS = 5000
 #: Well above what is passed on at once elsewhere, and within the limits that clients keep to.
 LARGE_BODY_BYTES = 60_000_000
 
@@ -42,6 +47,7 @@
     return platform.serve(
         make_route("/safe/", timeout_ms=ROUTE_TIMEOUT_MS),
         make_route("/unsafe/", "unsafe", timeout_ms=ROUTE_TIMEOUT_MS),
+        make_route("/long/", timeout_ms=LONG_ANSWER_TIMEOUT_MS),
     )
 
 
@@ -176,3 +182,28 @@
         "/unsafe/", "POST", body=body, name="legal", within_s=ANSWER_WITHIN_S
     )
     assert response.status == 200
+
+
+def test_clients_that_do_not_read_long_answers_leave_the_node_serving_within_its_memory(
+    platform: PlatformNode,
+) -> None:
+    node = serve(platform)
+    platform.check_in(info=MANY_SLOTS)
+    head = f"GET /long/?answer_bytes={BODY_BYTES} HTTP/1.1\r\nhost: {HOST}\r\n"
+    clients = [create_connection((ADDRESS, platform.requests_port)) for _ in range(CLIENTS)]
+    try:
+        for number, client in enumerate(clients):
+            client.sendall(f"{head}x-pollenbay-request-id: unread-{number}\r\n\r\n".encode())
+        wait_until(
+            lambda: platform.has_started(f"unread-{CLIENTS - 1}"),
+            ANSWER_WITHIN_S,
+            "the last request to run",
+        )
+        check_ordinary_requests(platform, "beside-the-crowd")
+        assert open_descriptors(node) <= 2 * CLIENTS + OWN_DESCRIPTORS
+    finally:
+        for client in clients:
+            client.close()
+    check_ordinary_requests(platform, "after-the-crowd")
+    assert node.alive
+    assert peak_memory_bytes(node) <= MEMORY_BOUND_BYTES
