Take the machine's limits from one table of the platform's settings

Change: the template passes the platform's limits as they are, as it does with its bounds, and the adapter takes memory and descriptors from them; what is missing keeps the node's own value. The names of the wire stay in the adapter.

--- a/src/pollenbay/platform/settings.py
+++ b/src/pollenbay/platform/settings.py
@@ -1,10 +1,12 @@
 """Settings of the platform adapter, and the node settings that follow from them."""
 
-from msgspec import Struct, ValidationError, convert
+from typing import Annotated
+
+from msgspec import Meta, Struct, ValidationError, convert
 from msgspec.structs import replace
 from result import Err, Ok, Result
 
-from pollenbay.settings import Settings, SettingsInvalidError
+from pollenbay.settings import Limits, Settings, SettingsInvalidError
 
 MS_PER_S = 1000.0
 PORT_MAX = 65535
@@ -42,6 +44,17 @@
     budget_extra: float = 48.0
 
 
+class MachineLimits(Struct, frozen=True):
+    """Resources of the machine that this project heeds; None where it states none.
+
+    :param memory_mb: megabytes that a process may use.
+    :param max_fds: descriptors that a process may open.
+    """
+
+    memory_mb: Annotated[float, Meta(gt=0.0)] | None = None
+    max_fds: Annotated[int, Meta(gt=0)] | None = None
+
+
 class PlatformSettings(Struct, frozen=True, forbid_unknown_fields=True, kw_only=True):
     """Settings of the platform adapter; endpoints are given as ``address:port``.
 
@@ -52,6 +65,8 @@
     :param check_ins: endpoint on which this node receives check-ins of its instance.
     :param check_in_ms: milliseconds between two check-ins.
     :param bounds: values by name; unknown names are ignored.
+    :param limits: resources of the machine by name, which replace those of the node's own limits;
+        unknown names are ignored.
     """
 
     store: str
@@ -61,6 +76,7 @@
     check_ins: str
     check_in_ms: float
     bounds: dict[str, object] = {}
+    limits: dict[str, object] = {}
 
 
 def read_platform_settings(settings: Settings) -> Result[PlatformSettings, SettingsInvalidError]:
@@ -76,6 +92,7 @@
         ):
             read_endpoint(text)
         read_bounds(platform)
+        read_limits(platform)
     except (ValidationError, ValueError) as error:
         return Err(SettingsInvalidError(f"platform: {error}"))
     return Ok(platform)
@@ -101,8 +118,16 @@
     return convert({name: value for name, value in values.items() if value is not None}, Bounds)
 
 
+def read_limits(settings: PlatformSettings) -> MachineLimits:
+    """Return the resources of the machine that this project heeds.
+
+    :raises ValidationError: if one is not a positive number.
+    """
+    return convert(settings.limits, MachineLimits, strict=False)
+
+
 def adapt_settings(settings: Settings) -> Settings:
-    """Return settings of a node with the times derived from the platform's bounds.
+    """Return settings of a node with the times and limits derived from the platform's.
 
     Settings without valid adapter settings are returned unchanged.
     """
@@ -120,4 +145,13 @@
         leave_s=leave_s,
         drain_s=max(bounds.grace_s - leave_s - STOP_MARGIN_S, 0.0),
         target_lease_s=MISSED_CHECK_INS_MAX * platform.check_in_ms / MS_PER_S,
+        limits=_with_machine_limits(settings.limits, read_limits(platform)),
+    )
+
+
+def _with_machine_limits(limits: Limits, machine: MachineLimits) -> Limits:
+    return replace(
+        limits,
+        memory_mb=machine.memory_mb or limits.memory_mb,
+        descriptors=machine.max_fds or limits.descriptors,
     )
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -52,6 +52,8 @@
         {"requests": "10.0.0.1:x"},
         {"check_in_ms": "often"},
         {"bounds": {"grace_s": "long"}},
+        {"limits": {"memory_mb": 0}},
+        {"limits": {"max_fds": "many"}},
         {"colour": "green"},
     ],
 )
@@ -65,6 +67,13 @@
     assert adapted.target_lease_s > 3.0
 
 
+def test_limits_of_the_machine_replace_those_of_the_node() -> None:
+    limits = adapt_settings(settings(limits={"memory_mb": 300, "max_fds": 4100, "x": 1})).limits
+    assert (limits.memory_mb, limits.caller_connections_max) == (300.0, 2050)
+    unset = adapt_settings(settings()).limits
+    assert unset == settings().limits
+
+
 def test_settings_without_table_and_platform_are_rejected() -> None:
     document = deepcopy(VALID)
     del document["platform"]
