review: a slow instance makes its node outgrow its memory

Cause: calls that end by a time-out or a client's leaving stay in reference cycles with what was read of their answers, though its memory counts as given back.

--- a/review/common_2.py
+++ b/review/common_2.py
@@ -38,6 +38,8 @@
 CHECK_IN_S = 1.5
 #: Seconds for which an instance stays silent on an idle connection before it closes it.
 INSTANCE_IDLE_S = 10.0
+#: Pieces in which an instance writes a long body.
+PIECES = 20
 #: Segment size on an Ethernet, which loopback would exceed many times.
 ETHERNET_SEGMENT_BYTES = 1460
 SLOW_READER_WINDOW_BYTES = 16384
@@ -158,6 +160,15 @@
         self.system.record.write(f"node {self.name} gets {signal.Signals(number).name}")
         os.kill(self.process.pid, number)
 
+    def memory_bytes(self) -> int:
+        """Return the memory of the node's process that is not of files; 0 if it is gone."""
+        try:
+            status = Path(f"/proc/{self.process.pid}/status").read_text(encoding="ascii")
+        except OSError:
+            return 0
+        found = re.search(r"RssAnon:\s+(\d+) kB", status)
+        return int(found.group(1)) * 1024 if found else 0
+
     async def is_ready(self) -> bool:
         """Return whether the node answers the readiness probe with 200."""
         try:
@@ -338,7 +349,8 @@
     """Stand-in for an instance: runs a request a connection, up to its slots; a short queue.
 
     The path's query states the work in seconds (`work`), the least length of the answer's body
-    (`bytes`), and a path that the request calls through the system after `call_after` seconds.
+    (`bytes`), the seconds in which that body is written (`send`), and a path that the request calls
+    through the system after `call_after` seconds. `slowness` multiplies `send`.
     """
 
     def __init__(self, machine: Machine, name: str, slots: int) -> None:
@@ -346,6 +358,7 @@
         self.record = machine.system.record
         self.runs: list[Run] = []
         self.confirmed_leaving_at: float | None = None
+        self.slowness = 1.0
         self._state, self._seq, self._born = "ready", 0, int(time.time() * 1000)
         self._free = asyncio.Semaphore(slots)
         self._server: asyncio.Server | None = None
@@ -503,9 +516,14 @@
             f"HTTP/1.1 {status} X\r\n{echo}X-Pollenbay-Server-Signature: sig\r\n"
             f"X-Pollenbay-Server-Load: 0,0,{self.slots}\r\n"
             f"Content-Length: {len(body)}\r\n\r\n".encode()
-            + body
         )
-        await writer.drain()
+        pieces = PIECES if "send" in query else 1
+        size = -(-len(body) // pieces)
+        for start in range(0, len(body), size):
+            writer.write(body[start : start + size])
+            await writer.drain()
+            if "send" in query:
+                await asyncio.sleep(float(query["send"]) * self.slowness / pieces)
 
     async def _work(self, query: dict[str, str]) -> int:
         if "call" in query:
@@ -552,6 +570,41 @@
     return answer
 
 
+async def call_kept(machine: Machine, paths, deadline_ms: int) -> list[Answer]:
+    """Send requests that may not be repeated on one kept connection, one after the other.
+
+    The last answer has an error if the connection ended without an answer.
+    """
+    record = machine.system.record
+    answers: list[Answer] = []
+    reader, writer = await asyncio.open_connection(machine.address, machine.ports["outbound"])
+    try:
+        for path in paths:
+            answer = Answer(f"{next(_REQUESTS):016x}", record.now())
+            answers.append(answer)
+            writer.write(
+                f"POST {path} HTTP/1.1\r\nHost: shop.example\r\n"
+                f"X-Pollenbay-Request-Id: {answer.request}\r\n"
+                f"X-Pollenbay-Deadline-Ms: {deadline_ms}\r\n"
+                "Content-Length: 5\r\n\r\norder".encode()
+            )
+            head = await read_head(reader)
+            if head is None:
+                raise ValueError("closed without an answer")
+            line, answer.headers = head
+            answer.status = int(line.split()[1])
+            await read_body(reader, answer.headers)
+            answer.complete, answer.ended_at = True, record.now()
+            if answer.headers.get("connection", "") == "close":
+                break
+    except (OSError, ValueError, asyncio.IncompleteReadError) as error:
+        answers[-1].error, answers[-1].ended_at = f"{type(error).__name__}: {error}", record.now()
+        record.write(f"client lost {answers[-1].request}: {answers[-1].error}")
+    finally:
+        writer.close()
+    return answers
+
+
 async def _call(
     machine: Machine,
     path: str,
