--- a/review/common_2.py
+++ b/review/common_2.py
@@ -122,9 +122,16 @@
 class Machine:
     """A machine with a node and an instance beside it."""
 
-    def __init__(self, system: "System", name: str, service: str, address: str) -> None:
+    def __init__(
+        self,
+        system: "System",
+        name: str,
+        service: str,
+        address: str,
+        ports: dict[str, int] | None = None,
+    ) -> None:
         self.system, self.name, self.service, self.address = system, name, service, address
-        self.ports = {
+        self.ports = ports or {
             each: free_port(address, system.random)
             for each in ("outbound", "ready", "admin", "app", "link", "gossip")
         }
@@ -259,9 +266,10 @@
         status, _, _ = await exchange("127.0.0.1", self.store_port, head.encode() + body, 3.0)
         self.record.write(f"config r{version} confirmed: {status}")
 
-    def add_machine(self, name: str, service: str) -> Machine:
-        """Return a machine at the next loopback address."""
-        machine = Machine(self, name, service, f"{self.network}.{10 + len(self.machines)}")
+    def add_machine(self, name: str, service: str, lost: Machine | None = None) -> Machine:
+        """Return a machine at the next loopback address, or at that of a lost machine."""
+        address = lost.address if lost else f"{self.network}.{10 + len(self.machines)}"
+        machine = Machine(self, name, service, address, lost.ports if lost else None)
         self.machines.append(machine)
         return machine
 
