--- a/review/common_2.py
+++ b/review/common_2.py
@@ -129,6 +129,7 @@
         service: str,
         address: str,
         ports: dict[str, int] | None = None,
+        zone: str = "z1",
     ) -> None:
         self.system, self.name, self.service, self.address = system, name, service, address
         self.ports = ports or {
@@ -139,7 +140,7 @@
         self.settings = system.folder / f"{name}.conf"
         fields = {
             "node_name": name,
-            "zone": "z1",
+            "zone": zone,
             "region": "r1",
             "service": service,
             "ip": address,
@@ -266,10 +267,12 @@
         status, _, _ = await exchange("127.0.0.1", self.store_port, head.encode() + body, 3.0)
         self.record.write(f"config r{version} confirmed: {status}")
 
-    def add_machine(self, name: str, service: str, lost: Machine | None = None) -> Machine:
+    def add_machine(
+        self, name: str, service: str, lost: Machine | None = None, zone: str = "z1"
+    ) -> Machine:
         """Return a machine at the next loopback address, or at that of a lost machine."""
         address = lost.address if lost else f"{self.network}.{10 + len(self.machines)}"
-        machine = Machine(self, name, service, address, lost.ports if lost else None)
+        machine = Machine(self, name, service, address, lost.ports if lost else None, zone)
         self.machines.append(machine)
         return machine
 
