Refuse all calls once a planned stop is over

Some got 502 while their instance went on to run them, those of the last 0.2 s lost their connection without an answer.

Cause: new work was refused except on routes taken for internal, and a route whose requests come from the nodes of at most half of the services is taken for one, also where clients use it. Between the last check for calls in progress and the end of the process nothing refused them, since the state became stopped only at the end.

Change: the state becomes stopped together with that last check, or before calls that outlast the stop are cancelled, and a stopped node refuses every call; a second SIGTERM does the same. A request counts as a nested call only while the local target serves something. The project's own interface accepted and passed on calls of callers until the end as well; it refuses them after leave_s, as its pages say.

The new test tests/test_platform_stop.py::test_request_of_a_client_on_a_route_taken_for_internal_is_not_lost_in_a_planned_stop failed before (assert 502 == 503) and passes.

--- a/bench/requestcost.py
+++ b/bench/requestcost.py
@@ -17,9 +17,7 @@
 sys.path.insert(0, str(ROOT / "tests"))
 
 from harness import (  # noqa: E402
-    ADDRESS,
     Processes,
-    free_port,
     keep_alive_connection,
     send,
     wait_until,
@@ -70,20 +68,14 @@
     with TemporaryDirectory() as folder, Processes(Path(folder)) as processes:
         target_node = PlatformNode(processes, Path(folder))
         target_process = target_node.serve(make_route("/safe/", slo_ms=500))
-        settings = target_node.settings()
-        port = free_port()
-        settings["instance"] = settings["host"] = "node-2"
-        settings["service"] = "other"
-        settings["platform"]["requests"] = f"{ADDRESS}:{port}"
-        settings["platform"]["readiness"] = f"{ADDRESS}:{free_port()}"
-        settings["platform"]["check_ins"] = f"{ADDRESS}:{free_port()}"
-        entry = processes.start_node("entry", settings)
+        entry_node = target_node.add_node("other")
+        entry, port = entry_node.start(), entry_node.requests_port
         target_node.publish(make_config(2, make_route("/safe/")))
         headers = {"host": HOST, "x-pollenbay-request-id": "warm"}
         wait_until(lambda: send(port, "/safe/", headers=headers).status == 200, 10.0, "the entry")
         sleep(SETTLE_S)
         target_node.check_in()
-        before = {process.name: cpu_s(process.pid) for process in (entry, target_process)}
+        before = {process.pid: cpu_s(process.pid) for process in (entry, target_process)}
         counts: list[int] = []
         stop_at = monotonic() + seconds
         threads = [
@@ -99,7 +91,7 @@
         requests = sum(counts)
         result = {"requests": requests, "per_s": round(requests / seconds)}
         for process, role in ((entry, "entry"), (target_process, "beside")):
-            used_s = cpu_s(process.pid) - before[process.name]
+            used_s = cpu_s(process.pid) - before[process.pid]
             result[f"{role}_ms"] = round(used_s / requests * 1000, 3)
             result[f"{role}_mb"] = round(rss_mb(process.pid), 1)
         click.echo(json.dumps(result))
--- a/src/pollenbay/callerfrontend.py
+++ b/src/pollenbay/callerfrontend.py
@@ -29,7 +29,7 @@
 from pollenbay.pipeline import Pipeline, make_pipeline
 from pollenbay.queries.bodymemory import has_room
 from pollenbay.queries.rules import find_call
-from pollenbay.states import BodyHolder, NodeState, Reason
+from pollenbay.states import BodyHolder, Reason
 from pollenbay.translation import (
     TranslationError,
     read_call_request,
@@ -178,7 +178,7 @@
 ) -> HttpResponse:
     response = await respond(node, Connection(sock, task), request)
     hold_received(holding, len(response.body))
-    if node.state is NodeState.DRAINING:
+    if node.is_stopping:
         response.headers.append((b"connection", b"close"))
     return response
 
--- a/src/pollenbay/commands/entry.py
+++ b/src/pollenbay/commands/entry.py
@@ -8,6 +8,7 @@
 from pollenbay.node import Node
 from pollenbay.outcome import NotRun, Outcome
 from pollenbay.queries.rules import find_call
+from pollenbay.queries.stopping import DRAINING_RETRY_S, accepts_entry
 from pollenbay.rule import CallRule
 from pollenbay.states import Reason
 
@@ -22,6 +23,8 @@
     rule = find_call(node.rulebook, call_request.service, call_request.name)
     if rule is None:
         return NotRun(Reason.UNKNOWN_CALL)
+    if not accepts_entry(node, is_nested=False):
+        return NotRun(Reason.DRAINING, DRAINING_RETRY_S)
     call = _make_call(node, call_request, rule, call_request.caller or default_caller)
     return await place_call(
         node, call, make_retry_account(rule.retries, call.deadline), EntryPoint.CALLER, progress
@@ -38,6 +41,8 @@
     rule = find_call(node.rulebook, call_request.service, call_request.name)
     if rule is None:
         return NotRun(Reason.UNKNOWN_CALL)
+    if not accepts_entry(node, is_nested=True):
+        return NotRun(Reason.DRAINING, DRAINING_RETRY_S)
     if call_request.context is None:
         service_caller = CallerId(node.settings.service)
         call = _make_call(node, call_request, rule, service_caller)
--- a/src/pollenbay/commands/lifecycle.py
+++ b/src/pollenbay/commands/lifecycle.py
@@ -43,8 +43,10 @@
 
 
 def change_state(node: Node, state: NodeState) -> None:
-    """Change the state of the node, count the change and log it."""
+    """Change the state of the node; count and log it if it is another one."""
     before = node.state
+    if before is state:
+        return
     node.state = state
     node.metrics.record_state_change(state.value)
     LOG.info("node state", extra={"before": before.value, "after": state.value})
@@ -54,9 +56,11 @@
     """Stop accepting calls, wait for those in flight and return whether all of them have ended.
 
     Calls that arrive while the announcement spreads are served; after `leave_s` they are refused
-    as not run. The node's row is removed from the table concurrently, since an unresponsive table
-    must not delay the stop. Responses of claimed calls are written before the node stops. Calls
-    that outlast the stop are cancelled, so that their callers get an outcome.
+    as not run, except those that the local target makes for calls that it is serving. The node's
+    row is removed from the table concurrently, since an unresponsive table must not delay the stop.
+    Once no call is in progress or the time is over, all calls are refused. Calls that outlast the
+    stop are cancelled, so that their callers get an outcome. Responses of claimed calls are written
+    before the process ends.
     """
     change_state(node, NodeState.DRAINING)
     announce_leaving(node.membership)
@@ -64,19 +68,26 @@
     node.rejects_new_work = True
     withdrawal = await spawn(withdraw, node.membership)
     try:
-        await timeout_after(node.settings.drain_s, _wait_until_idle, node)
+        await timeout_after(node.settings.drain_s, _stop_when_idle, node)
         finished = True
     except TaskTimeout:
         finished = False
-        LOG.warning("calls outlast the stop", extra={"in_progress": node.watch.in_progress})
-        await node.watch.cancel_all()
+        await abort_calls(node)
     finished = await drain_ledger(node.ledger, RECORD_WAIT_S) == 0 and finished
     await sleep(LINGER_S)
     await withdrawal.cancel()
-    change_state(node, NodeState.STOPPED)
     return finished
 
 
-async def _wait_until_idle(node: Node) -> None:
+async def abort_calls(node: Node) -> None:
+    """Accept no further calls and cancel those in progress; their callers get an outcome."""
+    change_state(node, NodeState.STOPPED)
+    LOG.warning("calls outlast the stop", extra={"in_progress": node.watch.in_progress})
+    await node.watch.cancel_all()
+
+
+async def _stop_when_idle(node: Node) -> None:
+    # No other task runs between the last check and the change of state.
     while node.watch.in_progress or node.gate.in_flight:
         await sleep(DRAIN_POLL_S)
+    change_state(node, NodeState.STOPPED)
--- a/src/pollenbay/commands/routeentry.py
+++ b/src/pollenbay/commands/routeentry.py
@@ -11,6 +11,7 @@
 from pollenbay.node import Node
 from pollenbay.outcome import NotRun, Outcome, Unknown, is_successful
 from pollenbay.queries.routes import choose_destination, find_route
+from pollenbay.queries.stopping import DRAINING_RETRY_S, accepts_entry, may_be_nested
 from pollenbay.queries.throttle import admission_ratio, retry_after_s
 from pollenbay.rule import Route
 from pollenbay.saturation import FULL_LEVEL, ServiceLevels
@@ -21,8 +22,6 @@
 FREE_ATTEMPTS = 2
 #: A node that has just started receives its rules within about this time.
 NOT_READY_RETRY_S = 0.5
-#: Short, because another node accepts requests immediately.
-DRAINING_RETRY_S = 0.05
 #: Levels of a service for which no report has been received.
 UNKNOWN_LEVELS = ServiceLevels()
 #: Callers of routes are not distinguished.
@@ -39,7 +38,7 @@
     if route is None:
         return NotRun(Reason.UNKNOWN_CALL)
     call = _make_call(node, route_request, route)
-    if node.rejects_new_work and node.throttle.entry_routes.get(route.name) is not False:
+    if not accepts_entry(node, may_be_nested(node, route.name)):
         return NotRun(Reason.DRAINING, DRAINING_RETRY_S)
     refusal = _throttle(node, call, route)
     if refusal is not None:
--- a/src/pollenbay/daemon.py
+++ b/src/pollenbay/daemon.py
@@ -20,7 +20,7 @@
 from pollenbay.callerfrontend import make_caller_connections, serve_caller, serve_target
 from pollenbay.commands.adoption import adopt
 from pollenbay.commands.gossiping import run_membership
-from pollenbay.commands.lifecycle import LINGER_S, drain
+from pollenbay.commands.lifecycle import LINGER_S, abort_calls, drain
 from pollenbay.commands.maintenance import run_maintenance
 from pollenbay.commands.reloading import reload_settings, watch_settings
 from pollenbay.commands.sweep import run_sweeper
@@ -211,8 +211,8 @@
 async def _abort_on_second_signal(node: Node, signals: StopSignals) -> int:
     while await signals.wait() == SIGHUP:
         LOG.info("hangup passed over while stopping")
-    LOG.warning("stop without waiting", extra={"in_progress": node.watch.in_progress})
-    await node.watch.cancel_all()
+    LOG.warning("stop without waiting")
+    await abort_calls(node)
     await sleep(LINGER_S)
     return EXIT_CALLS_ABORTED
 
--- a/src/pollenbay/node.py
+++ b/src/pollenbay/node.py
@@ -76,6 +76,11 @@
     rejects_new_work: bool = False
     stopping: Event = field(default_factory=Event)
 
+    @property
+    def is_stopping(self) -> bool:
+        """Return whether a planned stop has begun."""
+        return self.state in (NodeState.DRAINING, NodeState.STOPPED)
+
     @property
     def incarnation(self) -> Incarnation:
         """Return the current incarnation of the instance."""
--- a/src/pollenbay/states.py
+++ b/src/pollenbay/states.py
@@ -16,7 +16,7 @@
 
 
 class NodeState(Enum):
-    """Lifecycle of a node process."""
+    """Lifecycle of a node process; a stopped node accepts no call while its process ends."""
 
     STARTING = "starting"
     SERVING = "serving"
--- a/tests/platform_node.py
+++ b/tests/platform_node.py
@@ -8,16 +8,19 @@
 from harness import ADDRESS, Process, Processes, Response, free_port, send, wait_until
 
 SERVICE = "stock"
-TARGET = "i-1"
 HOST = "shop.example"
 READY_WITHIN_S = 10.0
 
 
-def make_config(version: int, *paths: dict[str, Any]) -> bytes:
+def make_config(
+    version: int, *paths: dict[str, Any], services: tuple[str, ...] = (SERVICE,)
+) -> bytes:
     """Return a configuration with these routes for `HOST`."""
     document = {
         "version": f"r{version}",
-        "services": [{"name": SERVICE, "health_path": "/healthz", "max_connections": 50}],
+        "services": [
+            {"name": each, "health_path": "/healthz", "max_connections": 50} for each in services
+        ],
         "limits": {"header_bytes": 16384, "idle_timeout_ms": 15000},
         "hosts": [{"host": HOST, "paths": list(paths)}],
     }
@@ -44,28 +47,41 @@
 
     :param folder: directory for settings.
     :param limits: resource limits in the settings of the node.
+    :param number: number of the node in its name.
+    :param store: store of the other nodes; by default a new one.
     """
 
     def __init__(
-        self, processes: Processes, folder: Path, limits: dict[str, Any] | None = None
+        self,
+        processes: Processes,
+        folder: Path,
+        limits: dict[str, Any] | None = None,
+        *,
+        number: int = 1,
+        service: str = SERVICE,
+        store: Process | None = None,
     ) -> None:
         self._processes = processes
+        self._folder = folder
         self._limits = limits or {}
-        self.store = processes.start("store", "standins.metadata")
-        self.instance = processes.start("instance", "standins.instance", "--name", TARGET)
+        self._name = f"node-{number}"
+        self._service = service
+        self._target = f"i-{number}"
+        self.store = store or processes.start("store", "standins.metadata")
+        self.instance = processes.start("instance", "standins.instance", "--name", self._target)
         self.requests_port = free_port()
         self.readiness_port = free_port()
         self.check_ins_port = free_port()
-        self.settings_path = processes.write_yaml("node.yaml", self.settings())
+        self.settings_path = processes.write_yaml(f"{self._name}.yaml", self.settings())
         self._seq = 0
 
     def settings(self) -> dict[str, Any]:
         return {
-            "instance": "node-1",
-            "host": "node-1",
+            "instance": self._name,
+            "host": self._name,
             "zone": "z1",
             "region": "r1",
-            "service": SERVICE,
+            "service": self._service,
             "address": ADDRESS,
             "limits": self._limits,
             "platform": {
@@ -84,6 +100,12 @@
             "node", "pollenbay.daemon", "--settings", str(self.settings_path)
         )
 
+    def add_node(self, service: str) -> "PlatformNode":
+        """Return a second node, of another service, at the same store; it has not been started."""
+        return PlatformNode(
+            self._processes, self._folder, number=2, service=service, store=self.store
+        )
+
     def publish(self, document: bytes) -> None:
         """Publish a configuration as the operator does."""
         send(self.store.port, "/operator/config", "POST", document)
@@ -96,15 +118,15 @@
         self._seq += 1
         document = {
             "address": f"{ADDRESS}:{self.instance.port}",
-            "info": {"service": SERVICE, "version": "v1", "zone": "z1", "capacity": 20},
+            "info": {"service": self._service, "version": "v1", "zone": "z1", "capacity": 20},
             "status": {"state": state, "seq": self._seq, "warmup_left_ms": 0},
             "born": 1,
         }
         return self.send_check_in(json.dumps({**document, **more}).encode("utf-8"))
 
-    def send_check_in(self, body: bytes, name: str = TARGET) -> Response:
+    def send_check_in(self, body: bytes, name: str = "") -> Response:
         """Send a check-in with an arbitrary body."""
-        return send(self.check_ins_port, f"/instances/{name}", "PUT", body)
+        return send(self.check_ins_port, f"/instances/{name or self._target}", "PUT", body)
 
     def send_request(self, target: str, method: str = "GET", **options: Any) -> Response:
         """Send a request as a client of the platform."""
@@ -124,9 +146,9 @@
         """Return whether the instance has started to run a request."""
         return any(run["name"] == name for run in self.runs())
 
-    def serve(self, *paths: dict[str, Any]) -> Process:
+    def serve(self, *paths: dict[str, Any], services: tuple[str, ...] = (SERVICE,)) -> Process:
         """Publish routes, start the node and wait until it serves."""
-        self.publish(make_config(1, *paths))
+        self.publish(make_config(1, *paths, services=services))
         node = self.start()
         wait_until(lambda: self.readiness_status() == 200, READY_WITHIN_S, "the node to be ready")
         assert self.check_in().status == 200
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -9,7 +9,7 @@
 from socket import create_connection
 
 from crowd import BODY_BYTES, Crowd, Shape
-from harness import ADDRESS, Process, Processes, free_port, send, wait_until
+from harness import ADDRESS, Process, Processes, send, wait_until
 from platform_node import HOST, SERVICE, PlatformNode, make_route
 from pytest import fixture, mark
 
@@ -149,25 +149,15 @@
     with Processes(tmp_path) as processes:
         platform = PlatformNode(processes, tmp_path)
         node = serve(platform)
-        entry, port = start_entry(processes, platform)
+        entry = platform.add_node("other")
+        entry_process = entry.start()
+        port = entry.requests_port
         wait_until(lambda: post(platform, port, b"x") == 200, ANSWER_WITHIN_S, "the entry to serve")
         assert post(platform, port, b"x" * LARGE_BODY_BYTES) == 200
-        for process in (node, entry):
+        for process in (node, entry_process):
             assert peak_memory_bytes(process) <= MEMORY_BOUND_BYTES
 
 
-def start_entry(processes: Processes, platform: PlatformNode) -> tuple[Process, int]:
-    """Start a node beside an instance of another service and return it with its client port."""
-    settings = platform.settings()
-    port = free_port()
-    settings["instance"] = settings["host"] = "node-2"
-    settings["service"] = "other"
-    settings["platform"]["requests"] = f"{ADDRESS}:{port}"
-    settings["platform"]["readiness"] = f"{ADDRESS}:{free_port()}"
-    settings["platform"]["check_ins"] = f"{ADDRESS}:{free_port()}"
-    return processes.start_node("entry", settings), port
-
-
 def post(platform: PlatformNode, port: int, body: bytes) -> int:
     """Send a request at a port beside a check-in of the instance and return its status."""
     platform.check_in()
--- a/tests/test_hostile_instances.py
+++ b/tests/test_hostile_instances.py
@@ -1,12 +1,9 @@
-"""Instances that break off or never end their answers, and requests late in a planned stop."""
+"""Instances that break off or never end their answers."""
 
 from collections.abc import Iterator
 from concurrent.futures import ThreadPoolExecutor
-from contextlib import suppress
-from http.client import HTTPException
-from time import sleep
 
-from harness import Processes, send, wait_until
+from harness import Processes
 from platform_node import PlatformNode, make_route
 from pytest import fixture, mark
 from test_hostile_clients import (
@@ -73,49 +70,3 @@
             )
             assert response.status == 502, (cut, len(body))
             assert "x-pollenbay-server-signature" not in response.headers
-
-
-def test_request_late_in_a_planned_stop_is_refused_or_answered(platform: PlatformNode) -> None:
-    """No request that was passed on may lose its answer, whenever it comes."""
-    node = platform.serve(make_route("/unsafe/", "unsafe"))
-    answered: set[str] = set()
-
-    def send_in_turn(client: int) -> None:
-        number = 0
-        while node.alive:
-            number += 1
-            name = f"stop-{client}-{number}"
-            with suppress(OSError, HTTPException):
-                response = platform.send_request(
-                    "/unsafe/?work_s=0.05", "POST", body=b"x", name=name
-                )
-                if response.status == 200:
-                    answered.add(name)
-                else:
-                    assert response.status == 503
-
-    with ThreadPoolExecutor(8) as pool:
-        clients = [pool.submit(send_in_turn, client) for client in range(8)]
-        sleep(0.3)
-        node.terminate()
-        for client in clients:
-            client.result()
-    ran = {
-        run["name"]
-        for run in send(platform.instance.control_port, "/log").json()["runs"]
-        if run["name"].startswith("stop-")
-    }
-    assert answered
-    assert ran == answered
-
-
-def test_request_that_outlasts_a_planned_stop_gets_an_answer(platform: PlatformNode) -> None:
-    node = platform.serve(make_route("/unsafe/", "unsafe", timeout_ms=30_000))
-    with ThreadPoolExecutor(1) as pool:
-        answer = pool.submit(
-            platform.send_request, "/unsafe/?work_s=8", "POST", body=b"x", name="long"
-        )
-        wait_until(lambda: platform.has_started("long"), ANSWER_WITHIN_S, "the request to run")
-        node.terminate()
-        assert answer.result().status in (502, 504)
-    node.wait()
--- /dev/null
+++ b/tests/test_platform_stop.py
@@ -0,0 +1,113 @@
+"""Planned stops on the users' platform: whatever a stopping node passes on is answered."""
+
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import suppress
+from http.client import HTTPException
+from time import sleep
+
+from harness import Process, Processes, wait_until
+from platform_node import PlatformNode, make_route
+from pytest import fixture, mark
+
+pytestmark = mark.alone
+
+CLIENTS = 8
+#: Longer than any machine takes.
+STARTED_WITHIN_S = 60.0
+#: So many that a route whose requests come from the nodes of two counts as internal.
+SERVICES = ("stock", "other", "third", "fourth", "fifth")
+#: Requests after which a node knows the class of a route.
+CLASSIFYING_REQUESTS = 20
+
+
+@fixture
+def platform(tmp_path) -> Iterator[PlatformNode]:
+    """Yield the stand-ins of the platform with a node that has not been started."""
+    with Processes(tmp_path) as processes:
+        yield PlatformNode(processes, tmp_path)
+
+
+class StopClients:
+    """Clients that send requests to a node, one after the other, until its process is gone."""
+
+    def __init__(self, platform: PlatformNode, process: Process, target: str) -> None:
+        self._platform = platform
+        self._process = process
+        self._target = target
+        self._pool = ThreadPoolExecutor(CLIENTS)
+        self._answered: set[str] = set()
+        self._clients = [self._pool.submit(self._send_in_turn, each) for each in range(CLIENTS)]
+
+    def wait_for_answers(self) -> set[str]:
+        """Wait for the end of the process and return the names of the successful requests.
+
+        Any other request must have been refused, or its connection was not served any more.
+        """
+        for client in self._clients:
+            client.result()
+        self._pool.shutdown()
+        return self._answered
+
+    def _send_in_turn(self, client: int) -> None:
+        number = 0
+        while self._process.alive:
+            number += 1
+            name = f"stop-{client}-{number}"
+            with suppress(OSError, HTTPException):
+                response = self._platform.send_request(self._target, "POST", body=b"x", name=name)
+                if response.status == 200:
+                    self._answered.add(name)
+                else:
+                    assert response.status == 503
+
+
+def stop_requests_run(platform: PlatformNode) -> set[str]:
+    """Return the names of the requests of `StopClients` that the instance ran."""
+    return {run["name"] for run in platform.runs() if run["name"].startswith("stop-")}
+
+
+def test_request_late_in_a_planned_stop_is_refused_or_answered(platform: PlatformNode) -> None:
+    """No request that was passed on may lose its answer, whenever it comes."""
+    node = platform.serve(make_route("/unsafe/", "unsafe"))
+    clients = StopClients(platform, node, "/unsafe/?work_s=0.05")
+    sleep(0.3)
+    node.terminate()
+    answered = clients.wait_for_answers()
+    assert answered
+    assert stop_requests_run(platform) == answered
+
+
+# A node that stopped took requests of clients on such a route until its process ended.
+def test_request_of_a_client_on_a_route_taken_for_internal_is_not_lost_in_a_planned_stop(
+    platform: PlatformNode,
+) -> None:
+    platform.serve(make_route("/unsafe/", "unsafe"), services=SERVICES)
+    entry = platform.add_node("other")
+    process = entry.start()
+
+    def is_answered() -> bool:
+        return entry.send_request("/unsafe/", "POST", body=b"x").status == 200
+
+    wait_until(is_answered, STARTED_WITHIN_S, "the entry to serve")
+    for _ in range(CLASSIFYING_REQUESTS):
+        assert is_answered()
+    platform.check_in()
+    clients = StopClients(entry, process, "/unsafe/?work_s=0.3")
+    sleep(0.5)
+    process.terminate()
+    answered = clients.wait_for_answers()
+    assert answered
+    assert stop_requests_run(platform) == answered
+
+
+def test_request_that_outlasts_a_planned_stop_gets_an_answer(platform: PlatformNode) -> None:
+    node = platform.serve(make_route("/unsafe/", "unsafe", timeout_ms=30_000))
+    with ThreadPoolExecutor(1) as pool:
+        answer = pool.submit(
+            platform.send_request, "/unsafe/?work_s=8", "POST", body=b"x", name="long"
+        )
+        wait_until(lambda: platform.has_started("long"), STARTED_WITHIN_S, "the request to run")
+        node.terminate()
+        assert answer.result().status in (502, 504)
+    node.wait()
