Accept a late nested call in a stop only if its deadline is within it

Cause: once new work is refused, calls of the local target were still accepted until the end of the stop, whatever time they might take.

Change: such a call is accepted only if its deadline is within the stop, on the users' platform and at the project's own interface. New work is accepted for 3 s at most, so that a long grace period excuses nothing. Ruled out: a shorter deadline for the call, since an instance that does not keep to it would be broken off again.

--- a/src/pollenbay/commands/entry.py
+++ b/src/pollenbay/commands/entry.py
@@ -23,9 +23,9 @@
     rule = find_call(node.rulebook, call_request.service, call_request.name)
     if rule is None:
         return NotRun(Reason.UNKNOWN_CALL)
-    if not accepts_entry(node, is_nested=False):
-        return NotRun(Reason.DRAINING, DRAINING_RETRY_S)
     call = _make_call(node, call_request, rule, call_request.caller or default_caller)
+    if not accepts_entry(node, False, call.deadline):
+        return NotRun(Reason.DRAINING, DRAINING_RETRY_S)
     return await place_call(
         node, call, make_retry_account(rule.retries, call.deadline), EntryPoint.CALLER, progress
     )
@@ -41,11 +41,11 @@
     rule = find_call(node.rulebook, call_request.service, call_request.name)
     if rule is None:
         return NotRun(Reason.UNKNOWN_CALL)
-    if not accepts_entry(node, is_nested=True):
-        return NotRun(Reason.DRAINING, DRAINING_RETRY_S)
     if call_request.context is None:
         service_caller = CallerId(node.settings.service)
         call = _make_call(node, call_request, rule, service_caller)
+        if not accepts_entry(node, True, call.deadline):
+            return NotRun(Reason.DRAINING, DRAINING_RETRY_S)
         return await place_call(
             node, call, make_retry_account(0, call.deadline), EntryPoint.TARGET, progress
         )
@@ -54,6 +54,8 @@
         return NotRun(Reason.BAD_CONTEXT)
     call = _make_call(node, call_request, rule, context.caller)
     _apply_context(call, context)
+    if not accepts_entry(node, True, call.deadline):
+        return NotRun(Reason.DRAINING, DRAINING_RETRY_S)
     context.begin_nested_call(node.timer.now())
     try:
         return await place_call(node, call, context.account, EntryPoint.TARGET, progress)
--- a/src/pollenbay/commands/lifecycle.py
+++ b/src/pollenbay/commands/lifecycle.py
@@ -56,19 +56,20 @@
     """Stop accepting calls, wait for those in flight and return whether all of them have ended.
 
     Calls that arrive while the announcement spreads are served; after `leave_s` they are refused
-    as not run, except those that the local target makes for calls that it is serving. The node's
-    row is removed from the table concurrently, since an unresponsive table must not delay the stop.
+    as not run, except calls of the local target whose deadline is within the stop. The node's row
+    is removed from the table concurrently, since an unresponsive table must not delay the stop.
     Once no call is in progress or the time is over, all calls are refused. Calls that outlast the
     stop are cancelled, so that their callers get an outcome. Responses of claimed calls are written
     before the process ends.
     """
+    node.stops_at = node.timer.now() + node.settings.leave_s + node.settings.drain_s
     change_state(node, NodeState.DRAINING)
     announce_leaving(node.membership)
     await sleep(node.settings.leave_s)
     node.rejects_new_work = True
     withdrawal = await spawn(withdraw, node.membership)
     try:
-        await timeout_after(node.settings.drain_s, _stop_when_idle, node)
+        await timeout_after(node.stops_at - node.timer.now(), _stop_when_idle, node)
         finished = True
     except TaskTimeout:
         finished = False
--- a/src/pollenbay/commands/routeentry.py
+++ b/src/pollenbay/commands/routeentry.py
@@ -38,7 +38,7 @@
     if route is None:
         return NotRun(Reason.UNKNOWN_CALL)
     call = _make_call(node, route_request, route)
-    if not accepts_entry(node, may_be_nested(node, route.name)):
+    if not accepts_entry(node, may_be_nested(node, route.name), call.deadline):
         return NotRun(Reason.DRAINING, DRAINING_RETRY_S)
     refusal = _throttle(node, call, route)
     if refusal is not None:
--- a/src/pollenbay/node.py
+++ b/src/pollenbay/node.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from math import inf
 from random import Random
 
 from curio import Event
@@ -45,6 +46,8 @@
     :param downstream_called_at: services that the local target calls, with the monotonic seconds of
         the last call.
     :param rejects_new_work: whether new work is rejected because the node is leaving.
+    :param stops_at: monotonic seconds by which a planned stop cancels the calls in progress;
+        infinite before a stop begins.
     :param stopping: set when a planned stop was requested.
     """
 
@@ -74,6 +77,7 @@
     downstream_called_at: dict[ServiceName, float] = field(default_factory=dict)
     state: NodeState = NodeState.STARTING
     rejects_new_work: bool = False
+    stops_at: float = inf
     stopping: Event = field(default_factory=Event)
 
     @property
--- a/src/pollenbay/platform/settings.py
+++ b/src/pollenbay/platform/settings.py
@@ -16,6 +16,8 @@
 #: Ratio of the grace period during which a stopping node still admits new work, until the other
 #: nodes have learned that it is leaving.
 LEAVE_RATIO = 0.4
+#: Upper limit of that time: what was sent later must not be broken off by the stop.
+LEAVE_MAX_S = 3.0
 #: Reserve between the end of a planned stop and the moment when the process would be killed.
 STOP_MARGIN_S = 0.7
 
@@ -139,7 +141,7 @@
 
 def _with_bounds(settings: Settings, platform: PlatformSettings) -> Settings:
     bounds = read_bounds(platform)
-    leave_s = bounds.grace_s * LEAVE_RATIO
+    leave_s = min(bounds.grace_s * LEAVE_RATIO, LEAVE_MAX_S)
     return replace(
         settings,
         leave_s=leave_s,
--- a/src/pollenbay/queries/stopping.py
+++ b/src/pollenbay/queries/stopping.py
@@ -8,16 +8,20 @@
 DRAINING_RETRY_S = 0.05
 
 
-def accepts_entry(node: Node, is_nested: bool) -> bool:
+def accepts_entry(node: Node, is_nested: bool, deadline: float) -> bool:
     """Return whether a call that enters now is accepted.
 
-    Nested calls are accepted for longer, since the calls that made them are still served.
+    Nested calls are accepted for longer, since the calls that made them are still served. By then
+    only those whose deadline is within the stop: any other might be cut short by its end.
 
     :param is_nested: whether the local target makes the call for one that it is serving.
+    :param deadline: deadline of the call in monotonic seconds.
     """
     if node.state is NodeState.STOPPED:
         return False
-    return is_nested or not node.rejects_new_work
+    if not node.rejects_new_work:
+        return True
+    return is_nested and deadline <= node.stops_at
 
 
 def may_be_nested(node: Node, route: CallName) -> bool:
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -6,6 +6,7 @@
 from pytest import mark
 
 from pollenbay.platform.settings import (
+    LEAVE_MAX_S,
     STOP_MARGIN_S,
     adapt_settings,
     read_endpoint,
@@ -85,3 +86,9 @@
     document = deepcopy(VALID)
     document["table"] = {"address": "10.0.0.9", "port": 1}
     assert parse_settings(document, "test").is_err()
+
+
+def test_new_work_is_accepted_for_a_bounded_time_in_a_long_stop() -> None:
+    long = adapt_settings(settings(bounds={"grace_s": 10}))
+    assert long.leave_s == LEAVE_MAX_S
+    assert long.leave_s + long.drain_s == 10 - STOP_MARGIN_S
--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -101,6 +101,36 @@
     assert stop_requests_run(platform) == answered
 
 
+# A stopping node took calls of its instance until the end and broke off those in progress.
+def test_nested_call_late_in_a_planned_stop_is_refused_or_answered(platform: PlatformNode) -> None:
+    other = platform.add_node("other")
+    node = platform.serve(
+        make_route("/unsafe/", "unsafe", timeout_ms=30_000),
+        make_route("/peek/", "unsafe", service="other"),
+        services=SERVICES,
+    )
+    other.start()
+
+    def is_nested_call_answered() -> bool:
+        other.check_in()
+        return platform.send_request("/peek/", "POST", body=b"x").status == 200
+
+    wait_until(is_nested_call_answered, STARTED_WITHIN_S, "the other node to serve")
+    for _ in range(CLASSIFYING_REQUESTS):
+        assert is_nested_call_answered()
+    with ThreadPoolExecutor(1) as pool:
+        parent = pool.submit(
+            platform.send_request, "/unsafe/?work_s=8", "POST", body=b"x", name="parent"
+        )
+        wait_until(lambda: platform.has_started("parent"), STARTED_WITHIN_S, "the request to run")
+        clients = StopClients(platform, node, "/peek/?work_s=0.4")
+        node.terminate()
+        answered = clients.wait_for_answers()
+        assert parent.result().status in (502, 504)
+    assert answered
+    assert stop_requests_run(other) == answered
+
+
 def test_request_that_outlasts_a_planned_stop_gets_an_answer(platform: PlatformNode) -> None:
     node = platform.serve(make_route("/unsafe/", "unsafe", timeout_ms=30_000))
     with ThreadPoolExecutor(1) as pool:
