Ignore late check-ins of a departed run that was not known

Cause: a departure does not state when its run started. For a run that the process had not heard of, the start was recorded as 0, and any check-in under that name counted as one of a later run.

Change: the time of day of the departure bounds the start of such a run, since another run under the same name starts after the first has ended. As the clock may be set back in between, the bound holds for 30 s, after which no late check-in is on its way. Ruled out: ignoring all check-ins of the name for a while, which would keep a new run away.

The new test test_departed_instance_stays_away_after_a_restart failed before (200 where 503 is asked) and passes.

--- a/src/pollenbay/platform/checkins.py
+++ b/src/pollenbay/platform/checkins.py
@@ -1,6 +1,7 @@
 """HTTP endpoints for check-ins of the local instance and for readiness probes of the platform."""
 
 from logging import getLogger
+from math import inf
 
 from curio.io import Socket
 from msgspec import Struct
@@ -16,6 +17,7 @@
 from pollenbay.platform.settings import Endpoint, read_endpoint
 from pollenbay.ranges import Count, Slots
 from pollenbay.states import NodeState, TargetState
+from pollenbay.timer import Timer
 
 BAD_INPUT_SOURCE = "check-ins"
 STATUS_OK = 200
@@ -25,6 +27,9 @@
 TARGET_STATES = {"ready": TargetState.SERVING, "draining": TargetState.LEAVING}
 #: Maximum number of departed runs that are remembered, so that their late check-ins are ignored.
 DEPARTED_RUNS_MAX = 64
+#: Seconds after which no check-in that was sent before the departure of its run arrives any more.
+LATE_CHECK_IN_MAX_S = 30.0
+MS_PER_S = 1000.0
 JSON_TYPE = (b"content-type", b"application/json")
 
 LOG = getLogger("pollenbay.platform")
@@ -59,6 +64,17 @@
     born: Count = 0
 
 
+class _Departure(Struct, frozen=True):
+    """Departure of a run, whose check-ins are ignored.
+
+    :param born_max: latest start of the run, in milliseconds since the epoch.
+    :param ends_at: monotonic seconds from which on check-ins are no longer ignored.
+    """
+
+    born_max: float
+    ends_at: float
+
+
 class CheckInError(Exception):
     """The check-in is malformed or comes from another instance than the local one."""
 
@@ -69,11 +85,12 @@
     Check-ins older than the latest one, and those of departed runs, are ignored.
     """
 
-    def __init__(self, endpoint: Endpoint) -> None:
+    def __init__(self, endpoint: Endpoint, timer: Timer) -> None:
         self._endpoint = endpoint
+        self._timer = timer
         self._latest_run = TargetId("")
         self._latest_order = (0, 0)
-        self._departed_runs: dict[TargetId, int] = {}
+        self._departed_runs: dict[TargetId, _Departure] = {}
 
     def apply(self, name: TargetId, body: bytes) -> Announcement | None:
         """Return the announcement in a check-in, or None if the check-in is outdated.
@@ -82,7 +99,7 @@
         """
         check_in = self._read(body)
         order = check_in.born, check_in.status.seq
-        if self._departed_runs.get(name, -1) >= check_in.born:
+        if self._has_departed(name, check_in.born):
             return None
         if check_in.born < self._latest_order[0] or (
             name == self._latest_run and order <= self._latest_order
@@ -99,11 +116,28 @@
         )
 
     def record_departure(self, name: TargetId) -> bool:
-        """Record the departure of a run and return whether it was the latest one."""
+        """Record the departure of a run and return whether it was the latest one.
+
+        The departure does not state when the run started. A run that this process has not heard of
+        started before now; another run under the same name starts only after it has ended.
+        """
         if len(self._departed_runs) >= DEPARTED_RUNS_MAX:
             del self._departed_runs[next(iter(self._departed_runs))]
-        self._departed_runs[name] = self._latest_order[0] if name == self._latest_run else 0
-        return name == self._latest_run
+        is_latest = name == self._latest_run
+        if is_latest:
+            self._departed_runs[name] = _Departure(self._latest_order[0], inf)
+        else:
+            born_max = self._timer.epoch() * MS_PER_S
+            self._departed_runs[name] = _Departure(
+                born_max, self._timer.now() + LATE_CHECK_IN_MAX_S
+            )
+        return is_latest
+
+    def _has_departed(self, name: TargetId, born: int) -> bool:
+        departure = self._departed_runs.get(name)
+        if departure is None or self._timer.now() >= departure.ends_at:
+            return False
+        return born <= departure.born_max
 
     def _read(self, body: bytes) -> _CheckIn:
         try:
@@ -118,9 +152,9 @@
         return check_in
 
 
-def make_check_ins(endpoint: Endpoint) -> CheckIns:
+def make_check_ins(endpoint: Endpoint, timer: Timer) -> CheckIns:
     """Return an empty record of check-ins for the instance at an endpoint."""
-    return CheckIns(endpoint)
+    return CheckIns(endpoint, timer)
 
 
 async def serve_check_ins(check_ins: CheckIns, node: Node, sock: Socket) -> None:
--- a/tests/platform_node.py
+++ b/tests/platform_node.py
@@ -128,6 +128,10 @@
         """Send a check-in with an arbitrary body."""
         return send(self.check_ins_port, f"/instances/{name or self._target}", "PUT", body)
 
+    def send_departure(self) -> Response:
+        """Report the departure of the instance."""
+        return send(self.check_ins_port, f"/instances/{self._target}", "DELETE")
+
     def send_request(self, target: str, method: str = "GET", **options: Any) -> Response:
         """Send a request as a client of the platform."""
         name = options.pop("name", "0123456789abcdef")
--- a/tests/table_double.py
+++ b/tests/table_double.py
@@ -121,7 +121,12 @@
     def __init__(self, now: float = 1000.0) -> None:
         super().__init__()
         self.time_s = now
+        self.epoch_s = now
 
     def now(self) -> float:
         """Return the time that the test has set."""
         return self.time_s
+
+    def epoch(self) -> float:
+        """Return the time of day that the test has set."""
+        return self.epoch_s
--- a/tests/test_fuzz_decoders.py
+++ b/tests/test_fuzz_decoders.py
@@ -54,6 +54,7 @@
 from pollenbay.rulerow import decode_rules, make_rule_set
 from pollenbay.rulerow import encode_row as encode_rules
 from pollenbay.states import CallClass, MemberState, Reason, TargetState
+from pollenbay.timer import make_timer
 
 SOURCE = Path(__file__).resolve().parent.parent / "src" / "pollenbay"
 RECORD = Record(
@@ -137,7 +138,7 @@
 
 def read_check_in(data: bytes) -> object:
     """Apply a check-in to an empty record."""
-    return make_check_ins(Endpoint("127.0.0.1", 8001)).apply("i-1", data)
+    return make_check_ins(Endpoint("127.0.0.1", 8001), make_timer()).apply("i-1", data)
 
 
 def read_store_rows(data: bytes) -> object:
--- a/tests/test_platform_checkins.py
+++ b/tests/test_platform_checkins.py
@@ -6,11 +6,18 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from pytest import mark, raises
+from table_double import ManualTimer
 
 from pollenbay.ids import TargetId
-from pollenbay.platform.checkins import CheckInError, CheckIns, make_check_ins
+from pollenbay.platform.checkins import (
+    LATE_CHECK_IN_MAX_S,
+    CheckInError,
+    CheckIns,
+    make_check_ins,
+)
 from pollenbay.platform.settings import Endpoint
 from pollenbay.states import TargetState
+from pollenbay.timer import Timer
 
 ENDPOINT = Endpoint("10.0.0.1", 8080)
 FIRST, SECOND = TargetId("i-1"), TargetId("i-2")
@@ -27,9 +34,9 @@
     return json.dumps({**document, **more}).encode("utf-8")
 
 
-def new_check_ins() -> CheckIns:
+def new_check_ins(timer: Timer | None = None) -> CheckIns:
     """Return the check-in state for the node's local instance."""
-    return make_check_ins(ENDPOINT)
+    return make_check_ins(ENDPOINT, timer or ManualTimer())
 
 
 def test_check_in_becomes_an_announcement() -> None:
@@ -77,6 +84,35 @@
     assert check_ins.apply(SECOND, body(2, born=20)) is not None
 
 
+# A late check-in brought back a run whose departure was the first that a new process heard of it.
+@mark.parametrize("born", [0, 10, 999_999])
+def test_departed_run_that_was_not_known_is_not_admitted(born: int) -> None:
+    timer = ManualTimer(1000.0)
+    check_ins = new_check_ins(timer)
+    assert check_ins.record_departure(FIRST) is False
+    timer.time_s += 5.0
+    timer.epoch_s += 5.0
+    assert check_ins.apply(FIRST, body(1, born=born)) is None
+    assert check_ins.apply(FIRST, body(2, "draining", born=born)) is None
+
+
+def test_new_run_under_the_name_of_a_departed_one_is_admitted() -> None:
+    timer = ManualTimer(1000.0)
+    check_ins = new_check_ins(timer)
+    check_ins.record_departure(FIRST)
+    assert check_ins.apply(FIRST, body(1, born=1_002_000)) is not None
+
+
+def test_new_run_is_admitted_in_the_end_although_the_clock_was_set_back() -> None:
+    timer = ManualTimer(1000.0)
+    check_ins = new_check_ins(timer)
+    check_ins.record_departure(FIRST)
+    timer.epoch_s -= 5.0
+    assert check_ins.apply(FIRST, body(1, born=997_000)) is None
+    timer.time_s += LATE_CHECK_IN_MAX_S
+    assert check_ins.apply(FIRST, body(2, born=997_000)) is not None
+
+
 @mark.parametrize(
     "malformed",
     [
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -138,6 +138,21 @@
         assert platform.send_request("/safe/").status == 503
         assert len(platform.runs()) == before
 
+    # A late check-in brought the instance back, since the new process had not known its run.
+    def test_departed_instance_stays_away_after_a_restart(self, platform: PlatformNode) -> None:
+        platform.serve(make_route("/unsafe/", "unsafe")).kill()
+        platform.start()
+        wait_until(
+            lambda: platform.readiness_status() == 200, READY_WITHIN_S, "the node to be ready"
+        )
+        before = len(platform.runs())
+        assert platform.send_departure().status == 200
+        assert platform.check_in().status == 200
+        ends_at = monotonic() + 1.0
+        while monotonic() < ends_at:
+            assert platform.send_request("/unsafe/", "POST", body=b"x").status == 503
+        assert len(platform.runs()) == before
+
 
 class TestConfiguration:
     """Configuration updates, also during outages of the store."""
