Take an answer without a length for incomplete if sending failed

Cause: the system reports a reset once. If the task that still sends the request gets it, the next read ends as after a proper close, which is how an answer without a length ends.

Change: such an answer counts as cut if sending failed. Other answers carry their end, short requests are sent before the reading begins, and links between nodes state each length, so that nothing else had it.

--- a/src/pollenbay/httpclient.py
+++ b/src/pollenbay/httpclient.py
@@ -64,6 +64,7 @@
         self._unframed = unframed
         self._hold: HoldBody = hold_unlimited
         self._must_close = False
+        self._is_framed = True
         self._received_bytes = 0
         self._conn = _make_connection()
 
@@ -103,7 +104,7 @@
         :param matches: returns whether a response is the one to this request and not an unsolicited
             one; None accepts the first response.
         :param hold: holds memory for more bytes of the response and returns whether there is room.
-        :raises HttpExchangeError: if the connection broke.
+        :raises HttpExchangeError: if the connection broke, also while the request was sent.
         :raises HttpAnswerError: if the response is truncated or malformed.
         """
         self._hold = hold
@@ -129,17 +130,31 @@
 
         If the response arrives before the complete request was sent, the connection is not used
         again: the server would read the rest of the request as the next one.
+
+        The system reports a reset of the connection only once. If that is while sending, reading
+        ends as if the server had closed the connection after its last byte, so that a response
+        without a stated length is incomplete.
         """
-        sending = await spawn(send_parts, self._sock, parts, daemon=True)
+        sending = await spawn(self._send, parts, daemon=True)
         try:
             response = await self._read_matching_response(request, matches)
-            self._must_close = (
-                self._must_close or not sending.terminated or sending.exception is not None
-            )
+            send_error = sending.result if sending.terminated else None
+            if send_error is not None and not self._is_framed:
+                raise HttpExchangeError("reset before the end of the response") from send_error
+            if send_error is not None or not sending.terminated:
+                self._must_close = True
             return response
         finally:
             await sending.cancel()
 
+    async def _send(self, parts: list[bytes]) -> OSError | None:
+        """Send a request and return the error that ended it, if any."""
+        try:
+            await send_parts(self._sock, parts)
+        except OSError as error:
+            return error
+        return None
+
     async def close(self) -> None:
         """Close the socket."""
         await self._sock.close()
@@ -183,7 +198,8 @@
         if not isinstance(head, h11.Response):
             raise HttpExchangeError("connection closed before a response")
         headers = headers_of(head)
-        if not _is_framed(method, head.status_code, headers):
+        self._is_framed = _is_framed(method, head.status_code, headers)
+        if not self._is_framed:
             self._must_close = True
             if not self._unframed:
                 raise HttpAnswerError(
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -4,10 +4,12 @@
 the response to the current request.
 """
 
+from struct import pack
 from typing import Any
 
 from curio import run, sleep, spawn, timeout_after
-from curio.socket import socketpair
+from curio.io import Socket
+from curio.socket import SHUT_WR, SO_LINGER, SOL_SOCKET, socketpair
 from pytest import mark, raises
 
 from pollenbay.http1 import (
@@ -18,10 +20,14 @@
     header_value,
 )
 from pollenbay.httpclient import UNSOLICITED_RESPONSES_MAX, HttpClient
+from pollenbay.stream import listen, open_stream, port_of
 
 REQUEST = HttpRequest(b"GET", b"/", [(b"host", b"t")])
 LONG_REQUEST = HttpRequest(b"PUT", b"/", [(b"host", b"t")], b"b" * 4_000_000)
 RESPONSE_TIMEOUT_S = 4.0
+#: The part of a response and the reset arrive in an order that differs from run to run.
+RESET_ROUNDS = 40
+UNFRAMED_HEAD = b"HTTP/1.1 200 OK\r\nname: mine\r\n\r\n"
 
 
 def make_response(name: bytes, body: bytes = b"body") -> bytes:
@@ -120,3 +126,55 @@
     response, reusable = run(_exchange_long, closes)
     assert response.body == b"early"
     assert not reusable
+
+
+async def _respond_and_reset(listener: Socket, data: bytes) -> None:
+    sock, _ = await listener.accept()
+    async with sock:
+        await sock.recv(100)
+        await sock.sendall(data)
+        sock.setsockopt(SOL_SOCKET, SO_LINGER, pack("ii", 1, 0))
+
+
+async def _exchange_until_reset(request: HttpRequest, data: bytes) -> HttpResponse:
+    listener = listen("127.0.0.1", 0)
+    server = await spawn(_respond_and_reset, listener, data, daemon=True)
+    client = HttpClient(await open_stream("127.0.0.1", port_of(listener)), unframed=True)
+    try:
+        async with timeout_after(RESPONSE_TIMEOUT_S):
+            return await client.exchange(request, is_expected)
+    finally:
+        await client.close()
+        await server.cancel()
+        await listener.close()
+
+
+# A part of a response without a length passed for all of it if the upload met the reset first.
+@mark.parametrize("request_", [LONG_REQUEST, REQUEST])
+def test_unframed_response_is_incomplete_if_the_connection_is_reset(request_: HttpRequest) -> None:
+    for _ in range(RESET_ROUNDS):
+        with raises((HttpAnswerError, HttpExchangeError)):
+            run(_exchange_until_reset, request_, UNFRAMED_HEAD + b"a part")
+
+
+async def _respond_early_unframed(sock: Any) -> None:
+    await sock.recv(100)
+    await sock.sendall(UNFRAMED_HEAD + b"whole")
+    await sock.shutdown(SHUT_WR)
+    await sleep(RESPONSE_TIMEOUT_S)
+
+
+async def _exchange_early_unframed() -> HttpResponse:
+    near, far = socketpair()
+    client = HttpClient(near, unframed=True)
+    server = await spawn(_respond_early_unframed, far, daemon=True)
+    try:
+        async with timeout_after(RESPONSE_TIMEOUT_S / 2):
+            return await client.exchange(LONG_REQUEST, is_expected)
+    finally:
+        await server.cancel()
+        await client.close()
+
+
+def test_early_unframed_response_is_complete_if_the_server_has_only_ended_it() -> None:
+    assert run(_exchange_early_unframed).body == b"whole"
