Check the heads of responses against the strict grammar

Status 000 and other characters in names were refused as broken before.

Cause: h11 unfolds continuation lines, takes LF for the end of a line and allows these values; nothing else was asked of a head.

Change: each head, interim ones too, has to match the strict grammar, or the answer is broken: 502, and the connection is closed. One place reads all HTTP responses: of instances, the store and the administration API.

--- a/src/pollenbay/http1.py
+++ b/src/pollenbay/http1.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 on h11: complete messages, their headers and the errors of client and server."""
 
+import re
 from collections.abc import Awaitable, Callable
 from enum import Enum
 
@@ -31,6 +32,11 @@
     }
 )
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
+STATUS_MAX = 599
+HTTP_VERSIONS = frozenset({b"1.0", b"1.1"})
+#: Lines of a head, which h11 reads more leniently: each ends with CR LF, holds no other control
+#: character than tabs, and starts no continuation of the line before it.
+STRICT_HEAD = re.compile(rb"(?:[^\x00-\x08\x0a-\x1f\x7f]+\r\n(?![ \t]))+\r\n")
 
 
 #: Holds memory for more bytes of a body and returns whether there is room.
@@ -102,6 +108,22 @@
     body: bytes = b""
 
 
+def check_response_head(
+    head: h11.Response | h11.InformationalResponse, received: bytes | bytearray
+) -> None:
+    """Check what h11 accepts in the head of a response although it is no valid HTTP/1.1.
+
+    :param received: bytes from which the head was read; more may follow.
+    :raises HttpAnswerError: if the head is not valid.
+    """
+    if head.status_code > STATUS_MAX:
+        raise HttpAnswerError(f"status {head.status_code} is out of range")
+    if head.http_version not in HTTP_VERSIONS:
+        raise HttpAnswerError(f"unsupported version {head.http_version!r}")
+    if STRICT_HEAD.match(received) is None:
+        raise HttpAnswerError("the head has a folded line or a control character")
+
+
 def headers_of(head: h11.Request | h11.Response) -> Headers:
     """Return the headers of a message with their names in lower case."""
     return [(name.lower(), value) for name, value in head.headers.raw_items()]
--- a/src/pollenbay/httpclient.py
+++ b/src/pollenbay/httpclient.py
@@ -18,6 +18,7 @@
     HttpExchangeError,
     HttpRequest,
     HttpResponse,
+    check_response_head,
     collect_body,
     headers_of,
     hold_unlimited,
@@ -210,11 +211,25 @@
 
     async def _read_final_head(self) -> h11.Event | type[h11.PAUSED]:
         for _ in range(INTERIM_RESPONSES_MAX):
-            head = await self._next_event()
+            head = await self._next_head()
             if not isinstance(head, h11.InformationalResponse):
                 return head
         raise HttpAnswerError("received only interim responses")
 
+    async def _next_head(self) -> h11.Event | type[h11.PAUSED]:
+        """Return the next head, or what came in its place.
+
+        :raises HttpAnswerError: if it is malformed.
+        """
+        while True:
+            received = self._conn.trailing_data[0]
+            event = self._parse_event()
+            if isinstance(event, (h11.InformationalResponse, h11.Response)):
+                check_response_head(event, received)
+            if event is not h11.NEED_DATA:
+                return event
+            await self._receive()
+
     async def _read_body(self) -> bytes:
         try:
             return await collect_body(
@@ -228,14 +243,17 @@
 
     async def _next_event(self) -> h11.Event | type[h11.PAUSED]:
         while True:
-            try:
-                event = self._conn.next_event()
-            except h11.RemoteProtocolError as error:
-                raise HttpAnswerError(str(error)) from error
+            event = self._parse_event()
             if event is not h11.NEED_DATA:
                 return event
             await self._receive()
 
+    def _parse_event(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        try:
+            return self._conn.next_event()
+        except h11.RemoteProtocolError as error:
+            raise HttpAnswerError(str(error)) from error
+
     async def _receive(self) -> None:
         data = await receive(self._sock, RECEIVE_BYTES)
         self._received_bytes += len(data)
--- a/src/standins/instance.py
+++ b/src/standins/instance.py
@@ -54,6 +54,10 @@
     CUT = "cut"
     #: The connection closes in the middle of the head, after as many bytes as ``cut`` says.
     CUT_HEAD = "cut-head"
+    #: The line that ``line`` says stands in the head, before the length.
+    ODD_LINE = "odd-line"
+    #: The status that ``status`` says.
+    ODD_STATUS = "odd-status"
     #: Header lines without end, until the caller closes.
     ENDLESS_HEAD = "endless-head"
     #: A body without end, which has no length, in chunks of `ENDLESS_PIECE_BYTES` or one byte.
@@ -194,6 +198,16 @@
                 head += b"content-length: %d\r\n\r\n" % len(body)
                 await sock.sendall(head[: int(_query_of(request)["cut"][0])])
                 return False
+            case ResponseFault.ODD_LINE:
+                line = _query_of(request)["line"][0].encode("latin-1")
+                length = b"content-length: %d\r\n\r\n" % len(body)
+                await sock.sendall(head + line + b"\r\n" + length + body)
+                return False
+            case ResponseFault.ODD_STATUS:
+                status = _query_of(request)["status"][0].encode("latin-1")
+                length = b"content-length: %d\r\n\r\n" % len(body)
+                await sock.sendall(head.replace(b"200", status, 1) + length + body)
+                return False
             case ResponseFault.LOST:
                 return False
             case ResponseFault.NOISE:
--- a/tests/test_httpclient.py
+++ b/tests/test_httpclient.py
@@ -92,6 +92,45 @@
         exchange(b"HTTP/1.1 200 OK\r\nname: mine\r\n\r\nwhole", unframed=False)
 
 
+# h11 joins a line that begins with a blank to the one before it and takes LF for the end of a line,
+# so that the response had another head or body than the server sent.
+@mark.parametrize("character", [*range(0x21), 0x7F])
+@mark.parametrize("name", [b"%cx-odd", b"x-%codd", b"x-odd%c", b"%ccontent-length"])
+def test_name_of_a_header_with_a_blank_or_control_character_is_an_error(
+    name: bytes, character: int
+) -> None:
+    head = b"HTTP/1.1 200 OK\r\nname: mine\r\nx-last: 1\r\n" + name % character
+    with raises(HttpAnswerError):
+        exchange(head + b": 4\r\ncontent-length: 4\r\n\r\nbody")
+
+
+@mark.parametrize("character", [each for each in range(0x20) if each != 0x09] + [0x7F])
+def test_value_of_a_header_with_a_control_character_is_an_error(character: int) -> None:
+    head = b"HTTP/1.1 200 OK\r\nname: mine\r\nx-odd: a%cb\r\n" % character
+    with raises(HttpAnswerError):
+        exchange(head + b"content-length: 4\r\n\r\nbody")
+
+
+@mark.parametrize("value", [b"", b"a\tb", b"a b", b"\xe9", b'"quoted, value"; x=1'])
+def test_any_other_value_of_a_header_is_passed_on(value: bytes) -> None:
+    head = b"HTTP/1.1 200 OK\r\nname: mine\r\nx-usual: %s\r\n" % value
+    response, _ = exchange(head + b"content-length: 4\r\n\r\nbody")
+    assert header_value(response.headers, b"x-usual") == value
+    assert response.body == b"body"
+
+
+@mark.parametrize("status", [b"000", b"099", b"600", b"999", b"20", b"2000"])
+def test_status_that_is_none_is_an_error(status: bytes) -> None:
+    with raises(HttpAnswerError):
+        exchange(make_response(b"mine").replace(b"200", status))
+
+
+@mark.parametrize("version", [b"0.9", b"2.0", b"9.9"])
+def test_version_that_is_not_spoken_is_an_error(version: bytes) -> None:
+    with raises(HttpAnswerError):
+        exchange(make_response(b"mine").replace(b"1.1", version))
+
+
 @mark.parametrize("length", [1, 20, len(make_response(b"mine")) - 1])
 def test_truncated_response_is_an_error(length: int) -> None:
     with raises((HttpAnswerError, HttpExchangeError)):
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -6,12 +6,26 @@
 from pathlib import Path
 from signal import SIGHUP
 from time import monotonic
+from urllib.parse import quote
 
 from harness import Processes, send, wait_until
 from platform_node import READY_WITHIN_S, SERVICE, PlatformNode, make_config, make_route
 from pytest import fixture, mark
 
 EFFECT_WITHIN_S = 5.0
+#: Header lines whose name or value holds a blank or a control character.
+ODD_LINES = [
+    " x-odd: 1",
+    "\tx-odd: 1",
+    "x odd: 1",
+    "x-odd : 1",
+    "x-\x01odd: 1",
+    "\x7fx-odd: 1",
+    "\rx-odd: 1",
+    "\nx-odd: 1",
+    "x-odd: 1\n",
+    "x-odd: \x01",
+]
 
 
 @fixture(scope="module")
@@ -99,6 +113,26 @@
         assert ran == (0 if spoil == "refused" else 1)
         assert served.send_request("/safe/", name="after").body == b"answer to after"
 
+    # Heads that are no HTTP were passed on as answers, a line of them as part of another one or of
+    # the body.
+    @mark.parametrize(
+        "query",
+        [
+            *(f"odd-line&line={quote(line)}" for line in ODD_LINES),
+            *(f"odd-status&status={status}" for status in ("000", "099", "600", "999")),
+        ],
+    )
+    def test_response_with_a_malformed_head_is_no_answer(
+        self, served: PlatformNode, query: str
+    ) -> None:
+        name = f"head-{query}"
+        response = served.send_request(f"/unsafe/?spoil={query}", "POST", body=b"x", name=name)
+        assert response.status == 502
+        assert "x-pollenbay-server-signature" not in response.headers
+        assert "x-odd" not in response.headers
+        assert sum(run["name"] == name for run in served.runs()) == 1
+        assert served.send_request("/safe/", name="after").body == b"answer to after"
+
     def test_rejection_states_retry_after(self, served: PlatformNode) -> None:
         response = served.send_request("/unsafe/?spoil=refused", "POST", body=b"x")
         assert 0.0 < float(response.headers["retry-after"]) < 2.0
