Refuse calls in a planned stop in one place, counted and logged

Cause: the three entries of calls each asked whether a stopping node accepts a call, and what they refused was in no metric and no log line, so that a 503 in a stop could not be told from others by its id.

Change: commands.stopping refuses for all of them, counts the refusal and writes a bounded line with the entry point and the time left of the call and of the stop. The entry point of a call says whether it is nested, instead of a flag of its own.

--- a/src/pollenbay/commands/calling.py
+++ b/src/pollenbay/commands/calling.py
@@ -13,6 +13,7 @@
 from pollenbay.commands.routing import begin_attempt, end_attempt, pick, record_occupancy
 from pollenbay.commands.saturation import record_levels
 from pollenbay.commands.serving import serve
+from pollenbay.commands.stopping import refuse_while_stopping
 from pollenbay.commands.throttle import record_entry
 from pollenbay.ids import InstanceId, make_call_id
 from pollenbay.link import (
@@ -66,6 +67,9 @@
         return NotRun(Reason.UNKNOWN_CALL)
     if call.depth > DEPTH_LIMIT:
         return NotRun(Reason.BAD_CONTEXT)
+    refusal = refuse_while_stopping(node, call, entry_point)
+    if refusal is not None:
+        return refusal
     if entry_point is EntryPoint.CALLER:
         refusal = refuse_at_entry(
             node.rulebook, node.view, call.service, call.name, node.timer.now()
--- a/src/pollenbay/commands/entry.py
+++ b/src/pollenbay/commands/entry.py
@@ -8,7 +8,6 @@
 from pollenbay.node import Node
 from pollenbay.outcome import NotRun, Outcome
 from pollenbay.queries.rules import find_call
-from pollenbay.queries.stopping import DRAINING_RETRY_S, accepts_entry
 from pollenbay.rule import CallRule
 from pollenbay.states import Reason
 
@@ -24,8 +23,6 @@
     if rule is None:
         return NotRun(Reason.UNKNOWN_CALL)
     call = _make_call(node, call_request, rule, call_request.caller or default_caller)
-    if not accepts_entry(node, False, call.deadline):
-        return NotRun(Reason.DRAINING, DRAINING_RETRY_S)
     return await place_call(
         node, call, make_retry_account(rule.retries, call.deadline), EntryPoint.CALLER, progress
     )
@@ -44,8 +41,6 @@
     if call_request.context is None:
         service_caller = CallerId(node.settings.service)
         call = _make_call(node, call_request, rule, service_caller)
-        if not accepts_entry(node, True, call.deadline):
-            return NotRun(Reason.DRAINING, DRAINING_RETRY_S)
         return await place_call(
             node, call, make_retry_account(0, call.deadline), EntryPoint.TARGET, progress
         )
@@ -54,8 +49,6 @@
         return NotRun(Reason.BAD_CONTEXT)
     call = _make_call(node, call_request, rule, context.caller)
     _apply_context(call, context)
-    if not accepts_entry(node, True, call.deadline):
-        return NotRun(Reason.DRAINING, DRAINING_RETRY_S)
     context.begin_nested_call(node.timer.now())
     try:
         return await place_call(node, call, context.account, EntryPoint.TARGET, progress)
--- a/src/pollenbay/commands/routeentry.py
+++ b/src/pollenbay/commands/routeentry.py
@@ -5,13 +5,14 @@
 from pollenbay.account import make_retry_account
 from pollenbay.call import MS_PER_S, Call, CallProgress, RouteRequest, deadline_of
 from pollenbay.commands.calling import place_at_service
+from pollenbay.commands.stopping import refuse_while_stopping
 from pollenbay.commands.throttle import record_end, record_entry
 from pollenbay.decisions import Decision, fields_of_call, fields_of_outcome
 from pollenbay.ids import CallerId
 from pollenbay.node import Node
 from pollenbay.outcome import NotRun, Outcome, Unknown, is_successful
 from pollenbay.queries.routes import choose_destination, find_route
-from pollenbay.queries.stopping import DRAINING_RETRY_S, accepts_entry, may_be_nested
+from pollenbay.queries.stopping import entry_point_of
 from pollenbay.queries.throttle import admission_ratio, retry_after_s
 from pollenbay.rule import Route
 from pollenbay.saturation import FULL_LEVEL, ServiceLevels
@@ -38,9 +39,9 @@
     if route is None:
         return NotRun(Reason.UNKNOWN_CALL)
     call = _make_call(node, route_request, route)
-    if not accepts_entry(node, may_be_nested(node, route.name), call.deadline):
-        return NotRun(Reason.DRAINING, DRAINING_RETRY_S)
-    refusal = _throttle(node, call, route)
+    refusal = refuse_while_stopping(node, call, entry_point_of(node, route.name))
+    if refusal is None:
+        refusal = _throttle(node, call, route)
     if refusal is not None:
         return refusal
     outcome = await _place_with_deadline(node, call, route, progress)
--- a/src/pollenbay/decisions.py
+++ b/src/pollenbay/decisions.py
@@ -21,6 +21,7 @@
     """Decisions that are logged; the value is the message."""
 
     THROTTLED = "held back at the entry"
+    STOPPING = "refused in a planned stop"
     FAILED = "request failed"
     NOT_ANSWERED = "not answered beside the target"
 
