Ask for the signature among the headers that are passed on

Cause: an answer whose Connection header names the signature loses it on the way, as headers do that concern one connection only. Whether it has one was asked before that, so that a client got a success without it.

Change: the signature is looked for in what is passed on. The attribute of the client that says whether a response is framed has a name of its own.

Result: the new test failed before (200 where 502 is asked) and passes.

--- a/src/pollenbay/httpclient.py
+++ b/src/pollenbay/httpclient.py
@@ -65,7 +65,7 @@
         self._unframed = unframed
         self._hold: HoldBody = hold_unlimited
         self._must_close = False
-        self._is_framed = True
+        self._response_is_framed = True
         self._received_bytes = 0
         self._conn = _make_connection()
 
@@ -140,7 +140,7 @@
         try:
             response = await self._read_matching_response(request, matches)
             send_error = sending.result if sending.terminated else None
-            if send_error is not None and not self._is_framed:
+            if send_error is not None and not self._response_is_framed:
                 raise HttpExchangeError("reset before the end of the response") from send_error
             if send_error is not None or not sending.terminated:
                 self._must_close = True
@@ -199,8 +199,8 @@
         if not isinstance(head, h11.Response):
             raise HttpExchangeError("connection closed before a response")
         headers = headers_of(head)
-        self._is_framed = _is_framed(method, head.status_code, headers)
-        if not self._is_framed:
+        self._response_is_framed = _is_framed(method, head.status_code, headers)
+        if not self._response_is_framed:
             self._must_close = True
             if not self._unframed:
                 raise HttpAnswerError(
--- a/src/pollenbay/platform/instance.py
+++ b/src/pollenbay/platform/instance.py
@@ -75,11 +75,11 @@
             raise DialectError(
                 f"status {status} without the header that marks the request as not executed"
             )
-        if status < 300 and SIGNATURE_HEADER not in values:
-            raise DialectError("successful response without a signature")
         if b"content-encoding" in values:
             raise DialectError("unexpected content-encoding in the response")
         forwarded = end_to_end_headers(response.headers, INTERNAL_RESPONSE_HEADERS)
+        if status < 300 and header_value(forwarded, SIGNATURE_HEADER) is None:
+            raise DialectError("successful response without a signature to pass on")
         return Answered(status, forwarded, response.body)
 
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -133,6 +133,16 @@
         assert sum(run["name"] == name for run in served.runs()) == 1
         assert served.send_request("/safe/", name="after").body == b"answer to after"
 
+    # The response had a signature, but was passed on without it.
+    def test_success_whose_signature_is_not_passed_on_is_no_answer(
+        self, served: PlatformNode
+    ) -> None:
+        line = quote("connection: x-pollenbay-server-signature")
+        response = served.send_request(
+            f"/unsafe/?spoil=odd-line&line={line}", "POST", body=b"x", name="hop-signature"
+        )
+        assert response.status == 502
+
     def test_rejection_states_retry_after(self, served: PlatformNode) -> None:
         response = served.send_request("/unsafe/?spoil=refused", "POST", body=b"x")
         assert 0.0 < float(response.headers["retry-after"]) < 2.0
