End the links of a node that has stopped

Cause: the task of a link turns the cancellation of its call into an outcome, replies and waits for the next call. curio cancels a task only once, so that the cancellation at the end of the process passed it by, until the other node closed the idle link after up to 20 s.

Evidence: log of a hung process, state stopped, refusals for 12 s and no stop line, signal handlers restored already.

Change: the task ends by itself after its reply once the node has stopped.

--- a/src/pollenbay/linkfrontend.py
+++ b/src/pollenbay/linkfrontend.py
@@ -18,7 +18,7 @@
 )
 from pollenbay.node import Node
 from pollenbay.queries.feedback import make_feedback
-from pollenbay.states import BodyHolder
+from pollenbay.states import BodyHolder, NodeState
 from pollenbay.watch import WatchedCall
 
 BAD_INPUT_SOURCE = "link"
@@ -56,6 +56,9 @@
             await _send_long_reply(node, link, reply)
         else:
             await link.send(reply)
+        if node.state is NodeState.STOPPED:
+            # If the stop has cancelled the call, this task cannot be cancelled once more.
+            return
         served += 1
         if served % CALLS_PER_YIELD == 0:
             await sleep(0)
--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -15,6 +15,8 @@
 CLIENTS = 8
 #: Longer than any machine takes.
 STARTED_WITHIN_S = 60.0
+#: Far beyond the grace period, and less than the 20 s after which another node closes an idle link.
+ENDED_WITHIN_S = 10.0
 #: So many that a route whose requests come from the nodes of two counts as internal.
 SERVICES = ("stock", "other", "third", "fourth", "fifth")
 #: Requests after which a node knows the class of a route.
@@ -141,3 +143,25 @@
         node.terminate()
         assert answer.result().status in (502, 504)
     node.wait()
+
+
+# A link whose call was cut by the end of a stop kept the process of the node until it was killed.
+def test_request_of_another_node_that_outlasts_a_planned_stop_does_not_hold_it_up(
+    platform: PlatformNode,
+) -> None:
+    entry = platform.add_node("other")
+    node = platform.serve(make_route("/unsafe/", "unsafe", timeout_ms=30_000))
+    entry.start()
+
+    def is_answered() -> bool:
+        return entry.send_request("/unsafe/", "POST", body=b"x").status == 200
+
+    wait_until(is_answered, STARTED_WITHIN_S, "the entry to serve")
+    with ThreadPoolExecutor(1) as pool:
+        answer = pool.submit(
+            entry.send_request, "/unsafe/?work_s=8", "POST", body=b"x", name="long"
+        )
+        wait_until(lambda: platform.has_started("long"), STARTED_WITHIN_S, "the request to run")
+        node.terminate()
+        assert answer.result().status == 502
+    node.wait(ENDED_WITHIN_S)
