Bound the start of any departed run by the time of its departure

Cause: the departure was taken for that of the run that had last checked in under the name, so that a check-in of the run that had really departed counted as one of a later run.

Change: the time of the departure bounds the start of the departed run in all cases, for 30 s; after that the start of the last one that had checked in.

test_departed_run_is_not_readmitted let a run of 1970 in after a departure of today; its new run now starts after the departure, and a test of its own asks for the rest of what it did.

--- a/src/pollenbay/platform/checkins.py
+++ b/src/pollenbay/platform/checkins.py
@@ -1,7 +1,6 @@
 """HTTP endpoints for check-ins of the local instance and for readiness probes of the platform."""
 
 from logging import getLogger
-from math import inf
 
 from curio.io import Socket
 from msgspec import Struct
@@ -65,12 +64,14 @@
 
 
 class _Departure(Struct, frozen=True):
-    """Departure of a run, whose check-ins are ignored.
+    """Departure of a run, whose check-ins are ignored; all starts in milliseconds since the epoch.
 
-    :param born_max: latest start of the run, in milliseconds since the epoch.
-    :param ends_at: monotonic seconds from which on check-ins are no longer ignored.
+    :param born: start of the latest run that had checked in under this name; -1 if none had.
+    :param born_max: latest possible start of the departed run.
+    :param ends_at: monotonic seconds up to which `born_max` counts.
     """
 
+    born: int
     born_max: float
     ends_at: float
 
@@ -118,26 +119,27 @@
     def record_departure(self, name: TargetId) -> bool:
         """Record the departure of a run and return whether it was the latest one.
 
-        The departure does not state when the run started. A run that this process has not heard of
-        started before now; another run under the same name starts only after it has ended.
+        The departure does not state when the run started, and the latest check-in under its name
+        may be of an earlier run. All runs under the name started before now; the next one starts
+        only after this one has ended.
         """
         if len(self._departed_runs) >= DEPARTED_RUNS_MAX:
             del self._departed_runs[next(iter(self._departed_runs))]
         is_latest = name == self._latest_run
-        if is_latest:
-            self._departed_runs[name] = _Departure(self._latest_order[0], inf)
-        else:
-            born_max = self._timer.epoch() * MS_PER_S
-            self._departed_runs[name] = _Departure(
-                born_max, self._timer.now() + LATE_CHECK_IN_MAX_S
-            )
+        self._departed_runs[name] = _Departure(
+            born=self._latest_order[0] if is_latest else -1,
+            born_max=self._timer.epoch() * MS_PER_S,
+            ends_at=self._timer.now() + LATE_CHECK_IN_MAX_S,
+        )
         return is_latest
 
     def _has_departed(self, name: TargetId, born: int) -> bool:
         departure = self._departed_runs.get(name)
-        if departure is None or self._timer.now() >= departure.ends_at:
+        if departure is None:
             return False
-        return born <= departure.born_max
+        if self._timer.now() < departure.ends_at and born <= departure.born_max:
+            return True
+        return born <= departure.born
 
     def _read(self, body: bytes) -> _CheckIn:
         try:
--- a/tests/test_platform_checkins.py
+++ b/tests/test_platform_checkins.py
@@ -74,9 +74,27 @@
     check_ins.apply(FIRST, body(1))
     assert check_ins.record_departure(FIRST) is True
     assert check_ins.apply(FIRST, body(2)) is None
+    assert check_ins.apply(FIRST, body(1, born=1_002_000)) is not None
+
+
+def test_departed_run_is_not_readmitted_however_late() -> None:
+    timer = ManualTimer(1000.0)
+    check_ins = new_check_ins(timer)
+    check_ins.apply(FIRST, body(1))
+    check_ins.record_departure(FIRST)
+    timer.time_s += 2 * LATE_CHECK_IN_MAX_S
+    assert check_ins.apply(FIRST, body(2)) is None
     assert check_ins.apply(FIRST, body(1, born=20)) is not None
 
 
+# The departed run counted as an earlier one under its name, which was the last to check in.
+def test_departed_run_is_not_admitted_in_place_of_an_earlier_one() -> None:
+    check_ins = new_check_ins(ManualTimer(1000.0))
+    check_ins.apply(FIRST, body(9, born=10))
+    check_ins.record_departure(FIRST)
+    assert check_ins.apply(FIRST, body(1, born=999_000)) is None
+
+
 def test_departure_of_another_run_is_ignored() -> None:
     check_ins = new_check_ins()
     check_ins.apply(SECOND, body(1, born=20))
