--- a/tests/test_stop_soak.py
+++ b/tests/test_stop_soak.py
@@ -27,7 +27,8 @@
 
 pytestmark = mark.alone
 
-CI_SEEDS = (1, 2, 3)
+#: Seeds of a run in CI; in 103 a departed instance came back, in 110 a stopped node did not end.
+CI_SEEDS = (1, 103, 110)
 CLIENTS = 6
 ROUNDS = 4
 #: So many that both routes, with requests from the nodes of two, count as internal.
