Review: a killed node forgets a departure that it confirmed

Departed runs are known to the process only, so a late check-in brings the instance back after a restart. Ruled out: the late check-in alone, which TROUBLE=0 sends too. Nothing is fixed.

--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,6 +1,7 @@
-"""New clients come to a node that holds as many connections as it may; see claim.txt."""
+"""A node that has confirmed a departure is killed, then a late check-in arrives; see claim.txt."""
 
 import asyncio
+import json
 import sys
 from pathlib import Path
 
@@ -8,87 +9,107 @@
 
 import common_3 as c  # noqa: E402
 
-#: Half of max_fds, the most connections that the node keeps.
-KEPT = 2050
-#: Each client sends its next request this long after the one before.
-PERIOD_S = 6.0
-NEW_PER_S = 200
-NEW_S = 4.0
-DEADLINE_MS = 5000
+DEADLINE_MS = 2000
+WORK_S = 0.3
+RATE_PER_S = 30
+DRAIN_S = c.BOUNDS["drain_ms"] / 1000
+CONTACT_S = c.BOUNDS["contact_ms"] / 1000
+#: Seconds after the confirmed departure: the node is killed, the last check-in that the instance
+#: sent before it arrives, and the instance ends.
+KILL_S = 0.3
+LATE_S = 2.0
+END_S = DRAIN_S + 3.5
 
 
 async def play(record, folder, nodes):
     network = c.free_network()
     store = c.Store(record)
     await store.start(f"{network}.2")
-    path = c.make_path("book", "bookings", "unsafe", DEADLINE_MS)
-    await store.put_config(c.make_config(1, ["bookings"], [path]))
-    ip = f"{network}.3"
-    node = c.Node(record, folder, store, ip, "sidecar-1", "bookings")
-    node.max_fds = 4100
-    nodes.append(node)
-    node.start()
-    instance = c.Instance(record, ip, "i-1", "bookings", 147, lambda target: 0.05)
-    await instance.start()
-    await node.wait_ready()
-    await c.wait_until(instance.check_in, 5.0, "a confirmed check-in")
+    path = c.make_path("book", "desk", "unsafe", DEADLINE_MS)
+    await store.put_config(c.make_config(1, ["desk", "shop"], [path]))
+    instances = []
+    for host, (name, service) in enumerate((("a", "shop"), ("b", "desk")), 3):
+        ip = f"{network}.{host}"
+        node = c.Node(record, folder, store, ip, f"sidecar-{name}", service)
+        nodes.append(node)
+        node.start()
+        instance = c.Instance(record, ip, f"i-{name}", service, 25, lambda target: WORK_S)
+        await instance.start()
+        instances.append(instance)
+    for node in nodes:
+        await node.wait_ready()
+    entry, beside = nodes[0], nodes[1]
+    leaving = instances[1]
     answers = {}
-    come_clients = []
-    # The machine is in touch from contact_ms after its start.
-    await asyncio.sleep(3.5)
 
-    async def keep(number):
-        """Send a request every `PERIOD_S` on one connection, on a new one if it was closed."""
-        client, turn = None, 0
-        await asyncio.sleep(PERIOD_S * number / KEPT)
-        due = record.now()
-        while record.now() < ends_at:
-            if client is None:
-                client = c.Client(ip, c.PORTS["outbound"])
-                await client.connect()
-            rid = f"kept-{number:04d}-{turn}"
-            try:
-                await client.send("POST", "/book/1", c.client_headers(rid, DEADLINE_MS), b"{}")
-                answers[rid] = (await client.receive()).status
-            except ConnectionError:
-                answers[rid] = 0
-            if not answers[rid]:
-                client.close()
-                client = None
-            turn, due = turn + 1, due + PERIOD_S
-            await asyncio.sleep(max(due - record.now(), 0.0))
+    async def one(rid):
+        headers = c.client_headers(rid, DEADLINE_MS)
+        answer = await c.send(entry.ip, c.PORTS["outbound"], "POST", "/book/1", headers, b"{}")
+        answers[rid] = answer.status
+        return answer.status
 
-    async def come(number):
-        """Send one request on a connection that stays open."""
-        await asyncio.sleep(number / NEW_PER_S)
-        rid = f"new-{number:04d}"
-        client = c.Client(ip, c.PORTS["outbound"])
-        come_clients.append(client)
-        try:
-            await client.connect()
-            await client.send("POST", "/book/1", c.client_headers(rid, DEADLINE_MS), b"{}")
-            answers[rid] = (await client.receive()).status
-        except ConnectionError:
-            answers[rid] = 0
+    async def is_served():
+        return await one("first") == 200
 
-    started_at = record.now()
-    ends_at = started_at + 3 * PERIOD_S
-    tasks = [asyncio.create_task(keep(number)) for number in range(KEPT)]
-    await asyncio.sleep(2 * PERIOD_S)
+    await c.wait_until(is_served, 10.0, "an answer")
+    # All machines are in touch.
+    await asyncio.sleep(CONTACT_S + 1.0)
+    tasks = []
+    stopping = asyncio.Event()
+
+    async def load():
+        while not stopping.is_set():
+            tasks.append(asyncio.create_task(one(f"book-{len(tasks):04d}")))
+            await asyncio.sleep(1 / RATE_PER_S)
+
+    loading = asyncio.create_task(load())
+    await asyncio.sleep(1.0)
+    # The instance sends one more check-in, which is on its way for `LATE_S` and longer, and then
+    # says that it leaves. It sends no check-in after that.
+    for task in leaving.tasks:
+        task.cancel()
+    late = check_in_of(leaving)
+    target = f"/instances/{leaving.name}"
+    answer = await c.send(leaving.ip, c.PORTS["admin"], "DELETE", target)
+    if answer.status != 200:
+        raise c.CannotRun("the departure was not confirmed")
+    left_at = record.now()
+    record.add("departure-confirmed", instance=leaving.name)
+    await asyncio.sleep(KILL_S)
+    started_at = left_at - CONTACT_S
     if c.TROUBLE:
-        count = int(NEW_PER_S * NEW_S)
-        tasks += [asyncio.create_task(come(number)) for number in range(count)]
+        beside.end()
+        record.add("killed", node=beside.name)
+        beside.start()
+        started_at = record.now()
+    await asyncio.sleep(left_at + LATE_S - record.now())
+    answer = await c.send(leaving.ip, c.PORTS["admin"], "PUT", target, body=late)
+    record.add("late-check-in", instance=leaving.name, status=answer.status)
+    await asyncio.sleep(left_at + END_S - record.now())
+    await leaving.crash()
+    await asyncio.sleep(0.5)
+    stopping.set()
+    await loading
     await asyncio.gather(*tasks)
-    passed_on = {rid for _, rid in instance.arrived}
+    # Only requests of the time in which the restarted machine is in touch again.
+    since = max(left_at + DRAIN_S, started_at + CONTACT_S)
+    wrong = [(at, rid) for at, rid in leaving.arrived if at > since]
+    lost = [rid for rid in leaving.ran if rid not in leaving.done and answers.get(rid) != 200]
     statuses = list(answers.values())
-    lost = [rid for rid, status in answers.items() if not status and rid in passed_on]
     counts = {status: statuses.count(status) for status in sorted(set(statuses))}
-    record.add("result", statuses=counts, passed_on=len(passed_on), passed_on_and_closed=len(lost))
-    for rid in lost:
-        record.add("lost", id=rid, run=rid in instance.ran)
-    if counts.get(200, 0) < KEPT:
-        raise c.CannotRun("the kept connections were not served")
-    return len(lost) <= 3
+    record.add("result", statuses=counts, after_departure=len(wrong), run_and_lost=len(lost))
+    for at, rid in wrong:
+        record.add("wrong", id=rid, after_confirmation_s=round(at - left_at, 3))
+    return not wrong
+
+
+def check_in_of(instance):
+    """Return the body of the next check-in of an instance."""
+    instance.seq += 1
+    info = {"service": instance.service, "version": "v1", "zone": "z1", "capacity": instance.slots}
+    status = {"state": "ready", "seq": instance.seq, "warmup_left_ms": 0}
+    body = {"address": f"{instance.ip}:{c.PORTS['app']}", "info": info, "status": status}
+    return json.dumps({**body, "born": instance.born}).encode()
 
 
 c.main(play, Path(__file__).resolve().parent)
