Keep confirmed departures in the node's row, so that a restart knows them

Cause: departures were kept in the memory of the process. A new process took the first check-in that it got for the latest one. The log of the case rules out that the old process did not apply the departure, and that another node sent the requests. The same held for a planned stop and start of the node.

Change: the node's row in the table holds the departures of the last 30 s. A departure is written before it is confirmed (for 0.5 s at most), and a new process reads its row, as it did before for the incarnation, before it admits a ready instance; until then a check-in gets 503, for 30 s at most. The row of a node that stops stays, marked as withdrawn, while such departures are in it. The row is replaced in the version that was read only, so that a write that is performed late does not undo a newer one. This works because the table survives whatever ends the process, and a late check-in is older than the departure that the row states.

A departure costs a read and a write of the table; a start costs no call more.

--- a/src/pollenbay/commands/joining.py
+++ b/src/pollenbay/commands/joining.py
@@ -3,21 +3,27 @@
 from dataclasses import dataclass
 from logging import getLogger
 
+from curio import sleep
+
+from pollenbay.commands.departures import mark_saved, recall
 from pollenbay.commands.heartbeat import apply_heartbeat, apply_records, compose_heartbeat
 from pollenbay.commands.membership import raise_incarnation
 from pollenbay.commands.peering import push_urgent
 from pollenbay.commands.rulesync import JITTER_FACTORS, TABLE_CHECK_INTERVAL_S, record_version
+from pollenbay.departures import Departure
 from pollenbay.gossipmessage import PAGE_RECORDS_MAX, Heartbeat, PageRequest, PageResponse
 from pollenbay.ids import InstanceId
 from pollenbay.membership import JoinProblem, Membership
 from pollenbay.peer import PeerAddressError, PeerError, PeerLink, make_peer_link
+from pollenbay.queries.departures import recent_departures
 from pollenbay.queries.membership import record_of
 from pollenbay.rendezvous import (
     NodeRow,
+    StoredNode,
     announce_node,
     announce_period_s,
     backoff_limit_s,
-    read_incarnation,
+    read_node,
     read_seeds,
     remove_abandoned,
     restoration_spread_s,
@@ -26,6 +32,8 @@
 
 LOG = getLogger("pollenbay.membership")
 BACKOFF_MIN_S = 0.5
+#: Maximum time between two attempts to reach the table for what the target waits for.
+TARGET_BACKOFF_MAX_S = 2.0
 #: Maximum number of seeds contacted in one attempt.
 SEEDS_PER_ATTEMPT = 8
 #: Number of responses after which an attempt contacts no further seeds.
@@ -102,30 +110,73 @@
                 backoff_s = BACKOFF_MIN_S
                 wait_s = announce_period_s(len(membership.view.members))
             else:
-                wait_s = backoff_s = min(
-                    backoff_s * 2, backoff_limit_s(len(membership.view.members))
-                )
+                wait_s = backoff_s = min(backoff_s * 2, _announcement_backoff_limit_s(membership))
             next_at = membership.timer.now() + wait_s * membership.rng.uniform(*JITTER_FACTORS)
         await ticks.wait()
 
 
+async def run_departures(membership: Membership) -> None:
+    """Store departures of the local target in this node's row as soon as they are recorded."""
+    departures = membership.departures
+    while True:
+        await departures.changed.wait()
+        departures.changed.clear()
+        backoff_s = BACKOFF_MIN_S
+        while not departures.saved.is_set() and not await _write_row(membership):
+            await sleep(backoff_s * membership.rng.uniform(*JITTER_FACTORS))
+            backoff_s = min(backoff_s * 2, TARGET_BACKOFF_MAX_S)
+
+
+def _announcement_backoff_limit_s(membership: Membership) -> float:
+    if not membership.departures.recalled.is_set():
+        return TARGET_BACKOFF_MAX_S
+    return backoff_limit_s(len(membership.view.members))
+
+
 async def _announce_in_table(membership: Membership) -> bool:
-    table = membership.table
-    stored_incarnation = await read_incarnation(table, record_of(membership.local_member))
-    if stored_incarnation.is_err():
+    if not await _write_row(membership):
         return False
-    raise_incarnation(
-        membership.gossip, membership.view, stored_incarnation.ok_value, membership.clock()
-    )
     me, epoch_s = record_of(membership.local_member), membership.timer.epoch()
-    written = await announce_node(table, me, epoch_s)
+    await remove_abandoned(membership.table, me, epoch_s, len(membership.view.members))
+    await _contact_unknown_node(membership)
+    return True
+
+
+async def _write_row(membership: Membership) -> bool:
+    """Take over what an earlier process has stored in this node's row, and write it again.
+
+    The write fails if the row has changed since it was read.
+    """
+    table, departures = membership.table, membership.departures
+    result = await read_node(table, record_of(membership.local_member))
+    if result.is_err():
+        return False
+    stored, now = result.ok_value, membership.timer.now()
+    await recall(departures, _departures_of_earlier_process(membership, stored), now)
+    if stored.row is not None:
+        raise_incarnation(
+            membership.gossip, membership.view, stored.row.incarnation, membership.clock()
+        )
+    revision = departures.revision
+    written = await announce_node(
+        table,
+        record_of(membership.local_member),
+        membership.timer.epoch(),
+        recent_departures(departures, now),
+        stored.version,
+    )
     if written.is_err():
         return False
-    await remove_abandoned(table, me, epoch_s, len(membership.view.members))
-    await _contact_unknown_node(membership)
+    await mark_saved(departures, revision)
     return True
 
 
+def _departures_of_earlier_process(membership: Membership, stored: StoredNode) -> list[Departure]:
+    if stored.row is None or stored.row.incarnation == membership.incarnation:
+        return []
+    return stored.row.departures
+
+
 async def _contact_unknown_node(membership: Membership) -> None:
     """Contact one node that is in the table but not in the view, so that separate groups merge."""
     rows = await _read_table_seeds(membership)
--- a/src/pollenbay/membership.py
+++ b/src/pollenbay/membership.py
@@ -11,6 +11,7 @@
 from curio import Event, Task
 from result import Result
 
+from pollenbay.departures import Departures, make_departures
 from pollenbay.gossip import Clock, Gossip, make_gossip
 from pollenbay.ids import Incarnation, InstanceId, RuleVersion
 from pollenbay.peer import PeerServer, PeerTraffic, make_peer_server, make_peer_traffic
@@ -51,6 +52,7 @@
     """State shared by the membership tasks.
 
     :param rng: source of all random choices.
+    :param departures: recent departures of the local target, which this node's row holds.
     :param peer_tasks: the task of each peer.
     :param heartbeat_timers: the heartbeat subscription of each peer; firing it sends a heartbeat at
         once.
@@ -75,6 +77,7 @@
     traffic: PeerTraffic
     server: PeerServer
     rng: Random
+    departures: Departures
     peer_tasks: dict[InstanceId, Task] = field(default_factory=dict)
     heartbeat_timers: dict[InstanceId, Subscription] = field(default_factory=dict)
     contacted_peers: set[InstanceId] = field(default_factory=set)
@@ -157,6 +160,7 @@
         traffic=traffic,
         server=server,
         rng=rng or Random(),
+        departures=make_departures(now),
     )
 
 
--- a/src/pollenbay/node.py
+++ b/src/pollenbay/node.py
@@ -12,6 +12,7 @@
 from pollenbay.budget import RetryBudgets, make_retry_budgets
 from pollenbay.contexts import Contexts, make_contexts
 from pollenbay.decisions import DecisionLog, make_decision_log
+from pollenbay.departures import Departures
 from pollenbay.gate import Gate, make_gate
 from pollenbay.ids import Incarnation, ServiceName
 from pollenbay.ledger import Ledger, make_ledger
@@ -85,6 +86,11 @@
         """Return whether a planned stop has begun."""
         return self.state in (NodeState.DRAINING, NodeState.STOPPED)
 
+    @property
+    def departures(self) -> Departures:
+        """Return the recent departures of the local target."""
+        return self.membership.departures
+
     @property
     def incarnation(self) -> Incarnation:
         """Return the current incarnation of the instance."""
--- a/src/pollenbay/platform/frontend.py
+++ b/src/pollenbay/platform/frontend.py
@@ -54,7 +54,7 @@
 
 def platform_tasks(node: Node, settings: PlatformSettings) -> list[Awaitable[None]]:
     """Return the tasks that serve requests, check-ins and readiness probes."""
-    check_ins = make_check_ins(read_endpoint(settings.target), node.timer)
+    check_ins = make_check_ins(read_endpoint(settings.target), node.timer, node.departures)
     ports = (
         (settings.requests, partial(make_caller_connections().serve, node, serve_client)),
         (settings.check_ins, partial(serve_check_ins, check_ins, node)),
--- a/src/pollenbay/rendezvous.py
+++ b/src/pollenbay/rendezvous.py
@@ -1,6 +1,7 @@
 """Rows in the platform's table by which nodes find each other.
 
-They serve as an address book only: a row is not a lease.
+They serve as an address book only: a row is not a lease. A row also holds what the next process of
+its node has to know of the local target.
 """
 
 from msgspec import Struct
@@ -8,9 +9,11 @@
 from result import Ok, Result
 
 from pollenbay.codec import CodecError, decode_json
+from pollenbay.departures import Departure
 from pollenbay.gossipmessage import Record
-from pollenbay.ids import Incarnation, InstanceId, RowKey, RuleVersion, ZoneId
+from pollenbay.ids import InstanceId, RowKey, RowVersion, RuleVersion, ZoneId
 from pollenbay.ranges import EpochSeconds, IpAddress, Port, StoredIncarnation
+from pollenbay.states import MemberState
 from pollenbay.table import Check, Row, Table, TableError, Write
 
 NODES_PREFIX = "nodes/"
@@ -30,6 +33,8 @@
 SEED_ROWS_SUFFICIENT = 8
 #: Age, in announcement periods, after which a row counts as abandoned.
 ABANDONED_PERIODS = 20
+#: Age after which the row of a node that has left as planned counts as abandoned.
+WITHDRAWN_RETENTION_S = 60.0
 REMOVALS_LIMIT = 16
 #: Number of scans for seeds that are always made: one of the local zone and one of other zones.
 SEED_SCANS_MIN = 2
@@ -37,10 +42,12 @@
 MAX_CHARACTER = "\U0010ffff"
 
 
-class NodeRow(Struct, frozen=True):
+class NodeRow(Struct, frozen=True, omit_defaults=True):
     """One node's row.
 
     :param written_at: seconds since the epoch, on the node's clock.
+    :param departures: recent departures of the node's target.
+    :param withdrawn: whether the node has left, so that it cannot be contacted.
     """
 
     instance: InstanceId
@@ -48,6 +55,19 @@
     address: IpAddress
     gossip_port: Port
     written_at: EpochSeconds
+    departures: list[Departure] = []
+    withdrawn: bool = False
+
+
+class StoredNode(Struct, frozen=True):
+    """A node's row as it was read.
+
+    :param version: version of the row; 0 if there is none.
+    :param row: None if there is no row, or one of another writer.
+    """
+
+    version: RowVersion = RowVersion(0)
+    row: NodeRow | None = None
 
 
 def row_key(zone: ZoneId, instance: InstanceId) -> RowKey:
@@ -87,14 +107,32 @@
     return max(BACKOFF_MAX_S, members / POLLS_PER_S)
 
 
-async def announce_node(table: Table, record: Record, epoch_s: float) -> Result[None, TableError]:
-    """Write a node's row; the operation is idempotent.
+async def announce_node(
+    table: Table,
+    record: Record,
+    epoch_s: float,
+    departures: list[Departure] | None = None,
+    version: RowVersion | None = None,
+) -> Result[None, TableError]:
+    """Write a node's row; the row of a node that is leaving is marked as withdrawn.
 
     :param epoch_s: seconds since the epoch.
+    :param departures: recent departures of the node's target.
+    :param version: version of the row that is replaced; None for any. A write may be performed
+        after a later one unless it states a version.
     """
-    row = NodeRow(record.instance, record.incarnation, record.address, record.gossip_port, epoch_s)
+    row = NodeRow(
+        instance=record.instance,
+        incarnation=record.incarnation,
+        address=record.address,
+        gossip_port=record.gossip_port,
+        written_at=epoch_s,
+        departures=departures or [],
+        withdrawn=record.state is MemberState.LEAVING,
+    )
     key = row_key(record.zone, record.instance)
-    return await table.transact([], [Write(key, encode(row))])
+    checks = [] if version is None else [Check(key, version)]
+    return await table.transact(checks, [Write(key, encode(row))])
 
 
 async def withdraw_node(table: Table, record: Record) -> Result[None, TableError]:
@@ -102,10 +140,12 @@
     return await table.transact([], [Write(row_key(record.zone, record.instance), None)])
 
 
-async def read_incarnation(table: Table, record: Record) -> Result[Incarnation, TableError]:
-    """Return the incarnation stored in a node's row; 0 if there is no row."""
+async def read_node(table: Table, record: Record) -> Result[StoredNode, TableError]:
+    """Return a node's own row, which an earlier process may have written."""
     result = await table.get(row_key(record.zone, record.instance))
-    return result.map(lambda row: _incarnation_in(table, row))
+    return result.map(
+        lambda row: StoredNode() if row is None else StoredNode(row.version, _node_row(table, row))
+    )
 
 
 async def read_seeds(table: Table, record: Record) -> Result[list[NodeRow], TableError]:
@@ -145,8 +185,8 @@
     )
     if result.is_err():
         return result
-    cutoff_epoch_s = epoch_s - ABANDONED_PERIODS * announce_period_s(members)
-    rows = [row for row in result.ok_value if _is_older(table, row, cutoff_epoch_s)]
+    retention_s = ABANDONED_PERIODS * announce_period_s(members)
+    rows = [row for row in result.ok_value if _is_abandoned(table, row, epoch_s, retention_s)]
     rows = rows[:REMOVALS_LIMIT]
     if not rows:
         return Ok(0)
@@ -161,19 +201,19 @@
     return result.map(bool)
 
 
-def _incarnation_in(table: Table, row: Row | None) -> Incarnation:
-    node = None if row is None else _node_row(table, row)
-    return Incarnation(0) if node is None else node.incarnation
-
-
-def _is_older(table: Table, row: Row, epoch_s: float) -> bool:
+def _is_abandoned(table: Table, row: Row, epoch_s: float, retention_s: float) -> bool:
     node = _node_row(table, row)
-    return node is not None and node.written_at < epoch_s
+    if node is None:
+        return False
+    if node.withdrawn:
+        retention_s = min(retention_s, WITHDRAWN_RETENTION_S)
+    return node.written_at < epoch_s - retention_s
 
 
 def _node_rows(table: Table, rows: list[Row]) -> dict[InstanceId, NodeRow]:
+    """Return the nodes in rows that can be contacted."""
     nodes = [_node_row(table, row) for row in rows]
-    return {node.instance: node for node in nodes if node is not None}
+    return {node.instance: node for node in nodes if node is not None and not node.withdrawn}
 
 
 def _node_row(table: Table, row: Row) -> NodeRow | None:
--- a/tests/test_fuzz_decoders.py
+++ b/tests/test_fuzz_decoders.py
@@ -5,6 +5,7 @@
 import json
 from base64 import b64encode
 from collections.abc import Callable
+from math import inf
 from pathlib import Path
 from re import search
 
@@ -22,6 +23,7 @@
 from pollenbay.badrows import make_bad_rows
 from pollenbay.claim import AnsweredRow, ClaimedRow, ReleasedRow, decode_row, encode_row
 from pollenbay.codec import CodecError, decode_json, make_message_decoder
+from pollenbay.departures import Departure, make_departures
 from pollenbay.gossipmessage import (
     CompareRequest,
     GossipDecodeError,
@@ -110,7 +112,7 @@
     ),
     ReleasedRow(nonce="n", written_epoch_s=1.0),
 ]  # fmt: skip
-NODE_ROW = NodeRow("stock-1", 3, "127.0.0.1", 8002, 1.5)
+NODE_ROW = NodeRow("stock-1", 3, "127.0.0.1", 8002, 1.5, [Departure("i-1", 17, 4)], True)
 ANNOUNCEMENT = Announcement(
     service="stock", address="127.0.0.1", port=8001, slots=20, state=TargetState.SERVING
 )
@@ -138,7 +140,8 @@
 
 def read_check_in(data: bytes) -> object:
     """Apply a check-in to an empty record."""
-    return make_check_ins(Endpoint("127.0.0.1", 8001), make_timer()).apply("i-1", data)
+    check_ins = make_check_ins(Endpoint("127.0.0.1", 8001), make_timer(), make_departures(-inf))
+    return check_ins.apply("i-1", data)
 
 
 def read_store_rows(data: bytes) -> object:
--- a/tests/test_platform_checkins.py
+++ b/tests/test_platform_checkins.py
@@ -1,21 +1,26 @@
 """Check-ins: the latest one of the latest run applies, regardless of the order of arrival."""
 
 import json
+from math import inf
 from typing import Any
 
+from curio import run
 from hypothesis import given
 from hypothesis import strategies as st
 from pytest import mark, raises
 from table_double import ManualTimer
 
+from pollenbay.commands.departures import recall
+from pollenbay.departures import LATE_ANNOUNCEMENT_MAX_S, Departures, make_departures
 from pollenbay.ids import TargetId
 from pollenbay.platform.checkins import (
-    LATE_CHECK_IN_MAX_S,
     CheckInError,
     CheckIns,
+    UnknownRunError,
     make_check_ins,
 )
 from pollenbay.platform.settings import Endpoint
+from pollenbay.queries.departures import recent_departures
 from pollenbay.states import TargetState
 from pollenbay.timer import Timer
 
@@ -35,8 +40,15 @@
 
 
 def new_check_ins(timer: Timer | None = None) -> CheckIns:
-    """Return the check-in state for the node's local instance."""
-    return make_check_ins(ENDPOINT, timer or ManualTimer())
+    """Return the check-in state for the node's local instance, without an earlier process."""
+    return make_check_ins(ENDPOINT, timer or ManualTimer(), make_departures(-inf))
+
+
+def check_ins_after_restart(earlier: Departures, timer: Timer) -> CheckIns:
+    """Return the check-in state of a process that recalls what an earlier one has stored."""
+    departures = make_departures(timer.now())
+    run(recall, departures, recent_departures(earlier, timer.now()), timer.now())
+    return make_check_ins(ENDPOINT, timer, departures)
 
 
 def test_check_in_becomes_an_announcement() -> None:
@@ -82,7 +94,7 @@
     check_ins = new_check_ins(timer)
     check_ins.apply(FIRST, body(1))
     check_ins.record_departure(FIRST)
-    timer.time_s += 2 * LATE_CHECK_IN_MAX_S
+    timer.time_s += 2 * LATE_ANNOUNCEMENT_MAX_S
     assert check_ins.apply(FIRST, body(2)) is None
     assert check_ins.apply(FIRST, body(1, born=20)) is not None
 
@@ -114,6 +126,36 @@
     assert check_ins.apply(FIRST, body(2, "draining", born=born)) is None
 
 
+# A killed process took the departures that it had confirmed with it.
+def test_departure_that_an_earlier_process_confirmed_counts_after_a_restart() -> None:
+    timer, earlier = ManualTimer(), make_departures(-inf)
+    before = make_check_ins(ENDPOINT, timer, earlier)
+    before.apply(FIRST, body(5))
+    before.record_departure(FIRST)
+    after = check_ins_after_restart(earlier, timer)
+    assert after.apply(FIRST, body(4)) is None
+    assert after.apply(FIRST, body(6)) is None
+    assert after.apply(SECOND, body(1, born=20)) is not None
+
+
+def test_ready_run_is_not_admitted_before_departures_are_recalled() -> None:
+    timer = ManualTimer()
+    departures = make_departures(timer.now())
+    check_ins = make_check_ins(ENDPOINT, timer, departures)
+    with raises(UnknownRunError):
+        check_ins.apply(FIRST, body(5))
+    assert check_ins.apply(FIRST, body(4, "draining")) is not None
+    run(recall, departures, [], timer.now())
+    assert check_ins.apply(FIRST, body(5)) is not None
+
+
+def test_run_is_admitted_without_a_table_once_no_late_check_in_can_arrive() -> None:
+    timer = ManualTimer()
+    check_ins = make_check_ins(ENDPOINT, timer, make_departures(timer.now()))
+    timer.time_s += LATE_ANNOUNCEMENT_MAX_S
+    assert check_ins.apply(FIRST, body(1)) is not None
+
+
 def test_new_run_under_the_name_of_a_departed_one_is_admitted() -> None:
     timer = ManualTimer(1000.0)
     check_ins = new_check_ins(timer)
@@ -127,7 +169,7 @@
     check_ins.record_departure(FIRST)
     timer.epoch_s -= 5.0
     assert check_ins.apply(FIRST, body(1, born=997_000)) is None
-    timer.time_s += LATE_CHECK_IN_MAX_S
+    timer.time_s += LATE_ANNOUNCEMENT_MAX_S
     assert check_ins.apply(FIRST, body(2, born=997_000)) is not None
 
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -148,6 +148,14 @@
         assert 0.0 < float(response.headers["retry-after"]) < 2.0
 
 
+def assert_not_served(platform: PlatformNode, runs_before: int) -> None:
+    """Assert that for a second no request reaches the instance."""
+    ends_at = monotonic() + 1.0
+    while monotonic() < ends_at:
+        assert platform.send_request("/unsafe/", "POST", body=b"x").status == 503
+    assert len(platform.runs()) == runs_before
+
+
 class TestCheckIns:
     @mark.parametrize(
         "body",
@@ -192,10 +200,45 @@
         before = len(platform.runs())
         assert platform.send_departure().status == 200
         assert platform.check_in().status == 200
-        ends_at = monotonic() + 1.0
-        while monotonic() < ends_at:
-            assert platform.send_request("/unsafe/", "POST", body=b"x").status == 503
-        assert len(platform.runs()) == before
+        assert_not_served(platform, before)
+
+    # A killed process took the departures that it had confirmed with it.
+    @mark.parametrize("end", ["kill", "terminate"])
+    def test_departure_that_was_confirmed_holds_after_a_restart(
+        self, platform: PlatformNode, end: str
+    ) -> None:
+        node = platform.serve(make_route("/unsafe/", "unsafe"))
+        late = platform.check_in_body()
+        before = len(platform.runs())
+        assert platform.send_departure().status == 200
+        getattr(node, end)()
+        node.wait()
+        platform.start()
+        wait_until(
+            lambda: platform.readiness_status() == 200, READY_WITHIN_S, "the node to be ready"
+        )
+        assert platform.send_check_in(late).status == 200
+        assert_not_served(platform, before)
+
+    # While the store is away, a node cannot know whether its instance has left before the restart.
+    def test_ready_instance_is_admitted_once_the_departures_are_recalled(
+        self, platform: PlatformNode
+    ) -> None:
+        platform.serve(make_route("/safe/")).kill()
+        platform.set_store_fault("down")
+        platform.start()
+        assert platform.check_in().status == 503
+        platform.set_store_fault("up")
+        wait_until(
+            lambda: platform.check_in().status == 200,
+            READY_WITHIN_S,
+            "the check-in to be confirmed",
+        )
+        wait_until(
+            lambda: platform.send_request("/safe/").status == 200,
+            EFFECT_WITHIN_S,
+            "a successful response",
+        )
 
 
 class TestConfiguration:
--- a/tests/test_rendezvous.py
+++ b/tests/test_rendezvous.py
@@ -4,24 +4,27 @@
 from curio import run
 from membership_double import SharedTable, record_for
 
-from pollenbay.ids import RowKey, RuleVersion
+from pollenbay.departures import Departure
+from pollenbay.ids import RowKey, RuleVersion, TargetId
 from pollenbay.rendezvous import (
     ABANDONED_PERIODS,
     ANNOUNCE_MIN_S,
     LOCAL_ZONE_SEED_ROWS,
     OTHER_ZONES_SEED_ROWS,
     REMOVALS_LIMIT,
+    WITHDRAWN_RETENTION_S,
     announce_node,
     announce_period_s,
     backoff_limit_s,
     has_newer_rules,
     poll_period_s,
-    read_incarnation,
+    read_node,
     read_seeds,
     remove_abandoned,
     row_key,
     withdraw_node,
 )
+from pollenbay.states import MemberState
 from pollenbay.table import Write
 
 NODE_COUNT = 3800
@@ -97,13 +100,13 @@
 
         async def main():
             record = record_for("a", incarnation=17)
-            absent = await read_incarnation(table, record)
+            absent = await read_node(table, record)
             await announce_node(table, record, 1.0)
-            present = await read_incarnation(table, record)
+            present = await read_node(table, record)
             await withdraw_node(table, record)
-            return absent.ok_value, present.ok_value, list(table.rows)
+            return absent.ok_value.row, present.ok_value.row.incarnation, list(table.rows)
 
-        assert run(main) == (0, 17, [])
+        assert run(main) == (None, 17, [])
 
     @pytest.mark.parametrize("age_factor, left", [(0.5, 41), (2.0, 41 - REMOVALS_LIMIT)])
     def test_only_abandoned_rows_are_removed_and_few_at_once(self, age_factor, left):
@@ -120,6 +123,48 @@
         assert run(main)
         assert len(table.rows) == left
 
+    # A process that was stopped as planned took the departures that it had confirmed with it.
+    def test_departures_stay_in_the_row_of_a_node_that_has_left(self):
+        table = SharedTable()
+        departure = Departure(TargetId("i-1"), 17, 4)
+
+        async def main():
+            leaving = record_for("a", state=MemberState.LEAVING)
+            await announce_node(table, leaving, 1.0, [departure])
+            stored = await read_node(table, leaving)
+            seeds = await read_seeds(table, record_for("b"))
+            return stored.ok_value.row, seeds.ok_value
+
+        row, seeds = run(main)
+        assert row.departures == [departure]
+        assert seeds == []
+
+    @pytest.mark.parametrize("periods, left", [(0.5, 2), (1.5, 1)])
+    def test_row_of_a_node_that_has_left_is_removed_early(self, periods, left):
+        table = SharedTable()
+
+        async def main():
+            await announce_node(table, record_for("b", state=MemberState.LEAVING), 0.0)
+            await announce_node(table, record_for("a"), 0.0)
+            await remove_abandoned(table, record_for("a"), periods * WITHDRAWN_RETENTION_S, 2)
+
+        run(main)
+        assert len(table.rows) == left
+
+    def test_late_write_does_not_replace_a_newer_row(self):
+        table = SharedTable()
+
+        async def main():
+            me = record_for("a")
+            stored = (await read_node(table, me)).ok_value
+            await announce_node(table, me, 1.0, [Departure(TargetId("i-1"), 17)], stored.version)
+            late = await announce_node(table, me, 0.0, [], stored.version)
+            return late.is_err(), (await read_node(table, me)).ok_value.row.departures
+
+        refused, departures = run(main)
+        assert refused
+        assert [each.target for each in departures] == ["i-1"]
+
 
 class TestNewerRules:
     def test_only_a_higher_version_is_newer(self):
