Keep that the local instance is draining in the node's row too

An instance says that it is draining, its node confirms that, is killed and starts again; a ready check-in that was sent before brought the instance back until its next check-in, later than drain_ms after the confirmation if it sends none.

Cause: the order of the last check-in was kept in the memory of the process only.

Change: the first draining check-in of a run is recorded as a departure with its number, so that it is in the row before it is confirmed; a new process takes earlier check-ins of the run for outdated.

--- a/src/pollenbay/commands/departures.py
+++ b/src/pollenbay/commands/departures.py
@@ -50,6 +50,8 @@
 
     :param limit_s: maximum seconds to wait.
     """
+    if departures.saved.is_set():
+        return True
     await departures.changed.set()
     return await _wait(departures.saved, limit_s)
 
--- a/src/pollenbay/departures.py
+++ b/src/pollenbay/departures.py
@@ -18,7 +18,7 @@
 
 
 class Departure(Struct, frozen=True):
-    """Departure of a run, after which its announcements are outdated.
+    """Announcement by a run that it leaves or has left, after which earlier ones are outdated.
 
     :param target: name of the run; a later run may bear it again.
     :param born_ms: latest start of an outdated run, in milliseconds since the epoch.
--- a/src/pollenbay/platform/checkins.py
+++ b/src/pollenbay/platform/checkins.py
@@ -1,6 +1,6 @@
 """HTTP endpoints for check-ins of the local instance and for readiness probes of the platform."""
 
-from logging import INFO, WARNING, getLogger
+from logging import getLogger
 
 from curio.io import Socket
 from msgspec import Struct
@@ -105,7 +105,7 @@
         order = check_in.born, check_in.status.seq
         state = TARGET_STATES[check_in.status.state]
         if self._has_departed(name, *order):
-            LOG.info("check-in of a departed run", extra={"target": name, "order": order})
+            LOG.info("check-in older than the departure", extra={"target": name, "order": order})
             return None
         if state is TargetState.SERVING and not is_history_known(
             self._departures, self._timer.now()
@@ -116,6 +116,8 @@
         ):
             return None
         self._latest_run, self._latest_order = name, order
+        if state is TargetState.LEAVING:
+            self._record_draining(name, *order)
         return Announcement(
             service=check_in.info.service,
             address=self._endpoint.address,
@@ -140,6 +142,11 @@
         record_departure(self._departures, departure, self._timer.now())
         return is_latest
 
+    def _record_draining(self, name: TargetId, born: int, sequence: int) -> None:
+        departure, _ = self._departures.recent.get(name, (None, 0.0))
+        if departure is None or departure.born_ms < born:
+            record_departure(self._departures, Departure(name, born, sequence), self._timer.now())
+
     def _has_departed(self, name: TargetId, born: int, sequence: int) -> bool:
         if is_outdated(self._departures, name, born, sequence, self._timer.now()):
             return True
@@ -195,8 +202,15 @@
     except UnknownRunError as error:
         LOG.warning("check-in not confirmed", extra={"target": name, "error": str(error)})
         return HttpResponse(STATUS_NOT_READY, [])
-    if announcement is not None:
-        apply_announcement(node, announcement, node.timer.now())
+    if announcement is None:
+        return _confirm()
+    apply_announcement(node, announcement, node.timer.now())
+    if announcement.state is TargetState.LEAVING:
+        await _store_departure(node, name)
+    return _confirm()
+
+
+def _confirm() -> HttpResponse:
     return HttpResponse(STATUS_OK, [JSON_TYPE], b"{}")
 
 
@@ -219,10 +233,14 @@
             target=name,
         )
         apply_announcement(node, leaving, node.timer.now())
-    stored = await save(node.departures, SAVE_WAIT_S)
-    fields = {"target": name, "latest": is_latest, "stored": stored}
-    LOG.log(INFO if stored else WARNING, "departure", extra=fields)
-    return HttpResponse(STATUS_OK, [JSON_TYPE], b"{}")
+    LOG.info("departure", extra={"target": name, "latest": is_latest})
+    await _store_departure(node, name)
+    return _confirm()
+
+
+async def _store_departure(node: Node, name: TargetId) -> None:
+    if not await save(node.departures, SAVE_WAIT_S):
+        LOG.warning("departure confirmed but not stored", extra={"target": name})
 
 
 async def serve_readiness(node: Node, sock: Socket) -> None:
--- a/tests/test_platform_checkins.py
+++ b/tests/test_platform_checkins.py
@@ -138,6 +138,19 @@
     assert after.apply(SECOND, body(1, born=20)) is not None
 
 
+# A killed process took with it that the run it had heard of was draining.
+def test_late_check_in_of_a_draining_run_is_outdated_after_a_restart() -> None:
+    timer, earlier = ManualTimer(), make_departures(-inf)
+    before = make_check_ins(ENDPOINT, timer, earlier)
+    before.apply(FIRST, body(5))
+    before.apply(FIRST, body(7, "draining"))
+    before.apply(FIRST, body(8, "draining"))
+    after = check_ins_after_restart(earlier, timer)
+    assert after.apply(FIRST, body(6)) is None
+    assert after.apply(FIRST, body(8, "draining")).state is TargetState.LEAVING
+    assert after.apply(FIRST, body(1, born=20)).state is TargetState.SERVING
+
+
 def test_ready_run_is_not_admitted_before_departures_are_recalled() -> None:
     timer = ManualTimer()
     departures = make_departures(timer.now())
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -220,6 +220,22 @@
         assert platform.send_check_in(late).status == 200
         assert_not_served(platform, before)
 
+    # A killed process took with it that its instance was draining.
+    def test_draining_instance_gets_no_more_requests_after_a_restart(
+        self, platform: PlatformNode
+    ) -> None:
+        node = platform.serve(make_route("/unsafe/", "unsafe"))
+        late = platform.check_in_body()
+        before = len(platform.runs())
+        assert platform.check_in("draining").status == 200
+        node.kill()
+        platform.start()
+        wait_until(
+            lambda: platform.readiness_status() == 200, READY_WITHIN_S, "the node to be ready"
+        )
+        assert platform.send_check_in(late).status == 200
+        assert_not_served(platform, before)
+
     # While the store is away, a node cannot know whether its instance has left before the restart.
     def test_ready_instance_is_admitted_once_the_departures_are_recalled(
         self, platform: PlatformNode
