Let a refused call be cancelled again when its client leaves

Cause: sending the request to the local instance notes in the progress of the call that it may not be cancelled. The note stayed when the instance answered that it had not run the request, and the next attempt started from the same progress.

Change: after an attempt that has not run, the progress is again what it was before the attempt. This works because not run is guaranteed by whoever says it, so that nothing that may be running loses its protection; an attempt that may have run keeps its note. The same cause on another path: a call that was refused counted as sent, and one that then met its deadline or a stop between two attempts was answered as one that may have run.

The stand-in of an instance can inject a fault at one instance only.

--- a/src/pollenbay/commands/calling.py
+++ b/src/pollenbay/commands/calling.py
@@ -151,6 +151,7 @@
     node: Node, call: Call, account: RetryAccount, progress: CallProgress, member: Member
 ) -> Outcome:
     allowance = delegate_tokens(account) if call.has_calls else 0
+    sent_before = progress.sent
     started_at = node.timer.now()
     begin_attempt(node.scores, member, started_at)
     result = AttemptResult.CANCELLED
@@ -161,9 +162,20 @@
         now = node.timer.now()
         end_attempt(node.scores, member, now - started_at, result, now)
     reclaim_tokens(account, outcome.allowance_left, allowance)
+    if isinstance(outcome, NotRun):
+        _undo_attempt(progress, sent_before)
     return outcome
 
 
+def _undo_attempt(progress: CallProgress, sent_before: bool) -> None:
+    """Return to the progress before an attempt that has not run, which the next one starts from.
+
+    :param sent_before: whether a target may have received the call in an earlier attempt.
+    """
+    progress.cancellable = True
+    progress.sent = sent_before
+
+
 def _result_of(outcome: Outcome) -> AttemptResult:
     if isinstance(outcome, NotRun):
         refused_by_load = outcome.reason is not Reason.CONNECT_FAILED
--- a/src/standins/instance.py
+++ b/src/standins/instance.py
@@ -1,6 +1,7 @@
 """Stand-in for an instance on the users' platform: signs its responses or injects faults.
 
-In a request's query ``spoil`` selects a fault, see `ResponseFault`, ``work_s`` sets the run time in
+In a request's query ``spoil`` selects a fault, see `ResponseFault`, ``by`` the name of the only
+instance that injects it, if only one does, ``work_s`` sets the run time in
 seconds and ``answer_bytes`` the least length of the body. ``GET /log`` on the control port lists
 the executed requests.
 """
@@ -146,7 +147,7 @@
         leftover = b""
         while (request := await read_or_refuse(server)) is not None:
             await sock.sendall(leftover)
-            leftover = repeated_refusal(request)
+            leftover = repeated_refusal(request, self._name)
             if not await self._respond(sock, server, request):
                 return
 
@@ -161,7 +162,7 @@
             headers = [echo, (TARGET_HEADER, self._name)]
             return await server.write_response(HttpResponse(421, headers))
         query = _query_of(request)
-        fault = _fault_of(query)
+        fault = _fault_of(query, self._name)
         if fault in REFUSALS:
             return await server.write_response(HttpResponse(503, [echo, (NOT_RUN_HEADER, b"1")]))
         self._record(request)
@@ -243,9 +244,12 @@
         await sock.sendall(piece)
 
 
-def repeated_refusal(request: HttpRequest) -> bytes:
-    """Return the refusal that is written once more before the response to the next request."""
-    fault = _fault_of(_query_of(request))
+def repeated_refusal(request: HttpRequest, name: bytes) -> bytes:
+    """Return the refusal that is written once more before the response to the next request.
+
+    :param name: name of the instance.
+    """
+    fault = _fault_of(_query_of(request), name)
     lines = [b"HTTP/1.1 503 Service Unavailable", NOT_RUN_HEADER + b": 1", b"content-length: 0"]
     if fault is ResponseFault.REFUSED_AGAIN:
         lines.append(
@@ -260,7 +264,9 @@
     return parse_qs(urlsplit(request.target.decode("latin-1")).query)
 
 
-def _fault_of(query: dict[str, list[str]]) -> ResponseFault:
+def _fault_of(query: dict[str, list[str]], name: bytes) -> ResponseFault:
+    if query.get("by", [name.decode("ascii")]) != [name.decode("ascii")]:
+        return ResponseFault.NOTHING
     return ResponseFault(query.get("spoil", ["nothing"])[0])
 
 
