Soak of stops: check when a request reaches an instance that has left

Cause: the check passed over requests by the moment at which they were sent.

Change: the stand-in of an instance notes when it starts to run a request, and none may start between drain_ms after the departure and the new run. This is as strict as the rule, and stricter than before for requests that were sent before that time and reach the instance within it.

--- a/src/standins/instance.py
+++ b/src/standins/instance.py
@@ -7,6 +7,7 @@
 """
 
 from enum import Enum
+from time import monotonic
 from urllib.parse import parse_qs, urlsplit
 
 import click
@@ -114,6 +115,7 @@
     :param name: value of the request id header.
     :param deadline_ms: value of the deadline header; 0 without one.
     :param body: beginning of the body.
+    :param started_at: monotonic seconds at which it started to run.
     """
 
     name: str
@@ -123,6 +125,7 @@
     origin: str
     deadline_ms: float
     body: str
+    started_at: float
 
 
 class ExecutedRequests(Struct):
@@ -181,6 +184,7 @@
             origin=value(ORIGIN_HEADER),
             deadline_ms=float(value(DEADLINE_HEADER) or 0.0),
             body=request.body[:LISTED_BODY_BYTES].decode("latin-1"),
+            started_at=monotonic(),
         )
         self._executed.append(executed)
 
--- a/tests/test_stop_soak.py
+++ b/tests/test_stop_soak.py
@@ -96,7 +96,7 @@
         self._log: list[str] = []
         self._sent: list[Sent] = []
         self._interrupted: list[Interrupted] = []
-        #: Service, and the monotonic seconds between which it has no instance.
+        #: Service, and the monotonic seconds between which no request may reach its instance.
         self._gone: list[tuple[str, float, float]] = []
         self._numbers = count()
         self._lock = Lock()
@@ -188,6 +188,7 @@
         sleep(self._random.uniform(0.0, DRAIN_S))
         assert node.send_check_in(late_check_in).status == 200
         sleep(max(confirmed_at + DRAIN_S + 1.0 - monotonic(), 0.0))
+        # The new run may get any request once it has checked in.
         self._gone.append((service, confirmed_at + DRAIN_S, monotonic()))
         self._born[service] = int(time() * 1000)
         self._leaving.discard(service)
@@ -204,9 +205,9 @@
             if ran and sent.status != 200:
                 timed_out = sent.ended_at - sent.sent_at >= sent.wait_s - SLACK_S
                 assert timed_out or any(each.excuses(sent) for each in self._interrupted), sent
-            for service, begins_at, ends_at in self._gone:
-                if sent.service == service and begins_at < sent.sent_at < ends_at:
-                    assert not ran, sent
+        for service, begins_at, ends_at in self._gone:
+            for run in self._nodes[service].runs():
+                assert not begins_at < run["started_at"] < ends_at, run
 
     def _interrupt(self, service: str, kind: Interruption) -> None:
         process = self._processes[service]
