--- a/tests/test_stop_soak.py
+++ b/tests/test_stop_soak.py
@@ -28,8 +28,8 @@
 
 pytestmark = mark.alone
 
-#: Seeds of a run in CI; a departed instance came back in 103 and, after a kill, in 300; a stopped node
-#: did not end in 110.
+#: Seeds of a run in CI. A departed instance came back in 103 and, after a kill, in 300; a stopped
+#: node did not end in 110.
 CI_SEEDS = (1, 103, 110, 300)
 CLIENTS = 6
 ROUNDS = 4
