--- a/tests/platform_node.py
+++ b/tests/platform_node.py
@@ -100,6 +100,21 @@
             "node", "pollenbay.daemon", "--settings", str(self.settings_path)
         )
 
+    def restart(self, process: Process, kill: bool = True) -> Process:
+        """Kill or stop the process of the node, start the next one and wait until it is ready."""
+        if kill:
+            process.kill()
+        else:
+            process.terminate()
+        process.wait()
+        node = self.start()
+        self.wait_ready()
+        return node
+
+    def wait_ready(self) -> None:
+        """Wait until the node is ready."""
+        wait_until(lambda: self.readiness_status() == 200, READY_WITHIN_S, "the node to be ready")
+
     def add_node(self, service: str) -> "PlatformNode":
         """Return a second node, of another service, at the same store; it has not been started."""
         return PlatformNode(
@@ -158,7 +173,7 @@
         """Publish routes, start the node and wait until it serves."""
         self.publish(make_config(1, *paths, services=services))
         node = self.start()
-        wait_until(lambda: self.readiness_status() == 200, READY_WITHIN_S, "the node to be ready")
+        self.wait_ready()
         assert self.check_in().status == 200
         wait_until(
             lambda: self.send_request(paths[0]["prefix"]).status == 200,
--- a/tests/test_platform_gone.py
+++ b/tests/test_platform_gone.py
@@ -31,7 +31,7 @@
         entry.serve(make_route("/unsafe/", "unsafe", timeout_ms=8000, priority=0))
         other = entry.add_node(SERVICE)
         other.start()
-        wait_until(lambda: other.readiness_status() == 200, STARTED_WITHIN_S, "the second node")
+        other.wait_ready()
         yield entry, other
 
 
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -192,31 +192,22 @@
 
     # A late check-in brought the instance back, since the new process had not known its run.
     def test_departed_instance_stays_away_after_a_restart(self, platform: PlatformNode) -> None:
-        platform.serve(make_route("/unsafe/", "unsafe")).kill()
-        platform.start()
-        wait_until(
-            lambda: platform.readiness_status() == 200, READY_WITHIN_S, "the node to be ready"
-        )
+        platform.restart(platform.serve(make_route("/unsafe/", "unsafe")))
         before = len(platform.runs())
         assert platform.send_departure().status == 200
         assert platform.check_in().status == 200
         assert_not_served(platform, before)
 
     # A killed process took the departures that it had confirmed with it.
-    @mark.parametrize("end", ["kill", "terminate"])
+    @mark.parametrize("kill", [True, False])
     def test_departure_that_was_confirmed_holds_after_a_restart(
-        self, platform: PlatformNode, end: str
+        self, platform: PlatformNode, kill: bool
     ) -> None:
         node = platform.serve(make_route("/unsafe/", "unsafe"))
         late = platform.check_in_body()
         before = len(platform.runs())
         assert platform.send_departure().status == 200
-        getattr(node, end)()
-        node.wait()
-        platform.start()
-        wait_until(
-            lambda: platform.readiness_status() == 200, READY_WITHIN_S, "the node to be ready"
-        )
+        platform.restart(node, kill)
         assert platform.send_check_in(late).status == 200
         assert_not_served(platform, before)
 
@@ -228,11 +219,7 @@
         late = platform.check_in_body()
         before = len(platform.runs())
         assert platform.check_in("draining").status == 200
-        node.kill()
-        platform.start()
-        wait_until(
-            lambda: platform.readiness_status() == 200, READY_WITHIN_S, "the node to be ready"
-        )
+        platform.restart(node)
         assert platform.send_check_in(late).status == 200
         assert_not_served(platform, before)
 
@@ -344,11 +331,7 @@
         assert platform.readiness_status() == 200
 
     def test_killed_node_serves_after_restart(self, platform: PlatformNode) -> None:
-        platform.serve(make_route("/safe/")).kill()
-        platform.start()
-        wait_until(
-            lambda: platform.readiness_status() == 200, READY_WITHIN_S, "the node to be ready"
-        )
+        platform.restart(platform.serve(make_route("/safe/")))
         platform.check_in()
         wait_until(
             lambda: platform.send_request("/safe/").status == 200,
