Remove a stopping node's row only in the version that was read

Not seen in a run of the product; found in reading. Cause: the stop removed the row, or replaced it by its own departures, whatever stood in it. A removal that the store performs late took away what the next process had stored, and a process that stopped before it had read its row dropped the departures in it. Change: the stop writes the row as all other writes of it do, from what was read and in that version only, with back-off. A planned stop costs one read of the store more.

--- a/src/pollenbay/commands/gossiping.py
+++ b/src/pollenbay/commands/gossiping.py
@@ -6,7 +6,12 @@
 from curio import CancelledError, TaskError, TaskGroup, spawn
 
 from pollenbay.commands.heartbeat import renew_report
-from pollenbay.commands.joining import run_announcements, run_departures, run_joining
+from pollenbay.commands.joining import (
+    run_announcements,
+    run_departures,
+    run_joining,
+    store_row,
+)
 from pollenbay.commands.membership import announce_state, check_contacts, update_peers
 from pollenbay.commands.peering import push_urgent, run_peer, serve_request
 from pollenbay.commands.rulesync import run_polls, run_pulls
@@ -14,9 +19,6 @@
 from pollenbay.gossipmessage import PeerRequest, PeerResponse
 from pollenbay.ids import InstanceId
 from pollenbay.membership import Membership
-from pollenbay.queries.departures import recent_departures
-from pollenbay.queries.membership import record_of
-from pollenbay.rendezvous import announce_node, withdraw_node
 from pollenbay.states import MemberState
 from pollenbay.view import TargetLoad
 
@@ -68,16 +70,8 @@
 
 
 async def withdraw(membership: Membership) -> None:
-    """Remove this node's row from the table after it has left.
-
-    The row stays, marked as withdrawn, if the next process of this node needs the departures in it.
-    """
-    table, me = membership.table, record_of(membership.local_member)
-    departures = recent_departures(membership.departures, membership.timer.now())
-    if departures:
-        await announce_node(table, me, membership.timer.epoch(), departures)
-    elif membership.departures.recalled.is_set():
-        await withdraw_node(table, me)
+    """Remove this node's row from the table after it has left, or mark it as withdrawn."""
+    await store_row(membership)
 
 
 def _announce(membership: Membership, state: MemberState) -> None:
--- a/src/pollenbay/commands/joining.py
+++ b/src/pollenbay/commands/joining.py
@@ -27,6 +27,7 @@
     read_seeds,
     remove_abandoned,
     restoration_spread_s,
+    withdraw_node,
 )
 from pollenbay.states import MemberState
 
@@ -121,10 +122,16 @@
     while True:
         await departures.changed.wait()
         departures.changed.clear()
-        backoff_s = BACKOFF_MIN_S
-        while not departures.saved.is_set() and not await _write_row(membership):
-            await sleep(backoff_s * membership.rng.uniform(*JITTER_FACTORS))
-            backoff_s = min(backoff_s * 2, TARGET_BACKOFF_MAX_S)
+        if not departures.saved.is_set():
+            await store_row(membership)
+
+
+async def store_row(membership: Membership) -> None:
+    """Write this node's row, or remove it if nobody needs it, with back-off until it succeeds."""
+    backoff_s = BACKOFF_MIN_S
+    while not await _write_row(membership):
+        await sleep(backoff_s * membership.rng.uniform(*JITTER_FACTORS))
+        backoff_s = min(backoff_s * 2, TARGET_BACKOFF_MAX_S)
 
 
 def _announcement_backoff_limit_s(membership: Membership) -> float:
@@ -145,7 +152,9 @@
 async def _write_row(membership: Membership) -> bool:
     """Take over what an earlier process has stored in this node's row, and write it again.
 
-    The write fails if the row has changed since it was read.
+    A node that is leaving removes the row, unless its next process needs the departures in it. The
+    write fails if the row has changed since it was read, so that one that is performed late does
+    not undo a newer one.
     """
     table, departures = membership.table, membership.departures
     result = await read_node(table, record_of(membership.local_member))
@@ -157,14 +166,12 @@
         raise_incarnation(
             membership.gossip, membership.view, stored.row.incarnation, membership.clock()
         )
-    revision = departures.revision
-    written = await announce_node(
-        table,
-        record_of(membership.local_member),
-        membership.timer.epoch(),
-        recent_departures(departures, now),
-        stored.version,
-    )
+    revision, recent = departures.revision, recent_departures(departures, now)
+    me, epoch_s = record_of(membership.local_member), membership.timer.epoch()
+    if me.state is MemberState.LEAVING and not recent:
+        written = await withdraw_node(table, me, stored.version)
+    else:
+        written = await announce_node(table, me, epoch_s, recent, stored.version)
     if written.is_err():
         return False
     await mark_saved(departures, revision)
--- a/src/pollenbay/rendezvous.py
+++ b/src/pollenbay/rendezvous.py
@@ -135,9 +135,15 @@
     return await table.transact(checks, [Write(key, encode(row))])
 
 
-async def withdraw_node(table: Table, record: Record) -> Result[None, TableError]:
-    """Remove a node's row."""
-    return await table.transact([], [Write(row_key(record.zone, record.instance), None)])
+async def withdraw_node(
+    table: Table, record: Record, version: RowVersion
+) -> Result[None, TableError]:
+    """Remove a node's row.
+
+    :param version: version of the row; 0 if there is none.
+    """
+    key = row_key(record.zone, record.instance)
+    return await table.transact([Check(key, version)], [Write(key, None)])
 
 
 async def read_node(table: Table, record: Record) -> Result[StoredNode, TableError]:
--- a/tests/test_gossiping.py
+++ b/tests/test_gossiping.py
@@ -3,15 +3,25 @@
 from collections.abc import Callable
 from time import monotonic
 
-from curio import run, sleep
+from curio import ignore_after, run, sleep
 from membership_double import Group, SharedTable, peer_address, state_in
+from msgspec.json import decode
+from pytest import mark
+from table_double import Fault
 from test_delta import make_rules
 
 from pollenbay.commands import joining, peering, rulesync
-from pollenbay.commands.gossiping import announce_leaving, announce_serving, report_load
+from pollenbay.commands.departures import record_departure, save
+from pollenbay.commands.gossiping import (
+    announce_leaving,
+    announce_serving,
+    report_load,
+    withdraw,
+)
 from pollenbay.commands.rulesync import adopt_rules
-from pollenbay.ids import RowKey, RuleVersion
-from pollenbay.membership import JoinProblem
+from pollenbay.departures import Departure
+from pollenbay.ids import RowKey, RuleVersion, TargetId
+from pollenbay.membership import JoinProblem, Membership
 from pollenbay.peer import (
     EXCHANGE_TIMEOUT_S,
     PeerLink,
@@ -20,6 +30,7 @@
     make_peer_link,
 )
 from pollenbay.queries.reports import request_reports
+from pollenbay.rendezvous import NodeRow
 from pollenbay.rulerow import CURRENT_RULES_KEY, encode_row, history_key
 from pollenbay.states import MemberState
 from pollenbay.table import Write
@@ -68,6 +79,19 @@
     return all(state_in(each, name) in states for each in others)
 
 
+async def record(membership: Membership, target: str) -> None:
+    """Record a departure and wait until it is stored."""
+    departure = Departure(TargetId(target), 10)
+    record_departure(membership.departures, departure, membership.timer.now())
+    assert await save(membership.departures, DEFAULT_TIMEOUT_S)
+
+
+def stored_targets(group: Group) -> list[str]:
+    """Return the departed targets in the only row of a node."""
+    (row,) = [row for key, row in group.table.rows.items() if key.startswith("nodes/")]
+    return sorted(each.target for each in decode(row.value, type=NodeRow).departures)
+
+
 def run_scenario(scenario, table: SharedTable | None = None) -> None:
     """Run a scenario with a group, which is stopped afterwards."""
 
@@ -208,6 +232,43 @@
 
         run_scenario(scenario)
 
+    # A late write of a stopped process erased the departures that the next one had stored.
+    @mark.parametrize("departed", [(), ("i-1",)])
+    def test_late_withdrawal_does_not_undo_the_row_of_the_next_process(self, departed):
+        async def scenario(group):
+            first = await group.start("i1")
+            await wait_for(lambda: bool(group.table.rows), DEFAULT_TIMEOUT_S, "the row")
+            for target in departed:
+                await record(first, target)
+            announce_leaving(first)
+            group.table.faults.append(Fault.DELAYED)
+            await ignore_after(0.1, withdraw, first)
+            await group.kill(first)
+            restarted = await group.start("i1")
+            await record(restarted, "i-2")
+            group.table.deliver_delayed()
+            assert stored_targets(group) == [*departed, "i-2"]
+
+        run_scenario(scenario)
+
+    # A process that stopped before it had read its row replaced the departures in it by its own.
+    def test_withdrawal_keeps_departures_that_were_not_recalled(self):
+        async def scenario(group):
+            first = await group.start("i1")
+            await wait_for(lambda: bool(group.table.rows), DEFAULT_TIMEOUT_S, "the row")
+            await record(first, "i-1")
+            await group.kill(first)
+            group.table.read_down = True
+            restarted = await group.start("i1")
+            departure = Departure(TargetId("i-2"), 20)
+            record_departure(restarted.departures, departure, restarted.timer.now())
+            announce_leaving(restarted)
+            group.table.read_down = False
+            await withdraw(restarted)
+            assert stored_targets(group) == ["i-1", "i-2"]
+
+        run_scenario(scenario)
+
     def test_live_nodes_are_not_suspected(self):
         async def scenario(group):
             await start_group(group)
--- a/tests/test_rendezvous.py
+++ b/tests/test_rendezvous.py
@@ -103,7 +103,7 @@
             absent = await read_node(table, record)
             await announce_node(table, record, 1.0)
             present = await read_node(table, record)
-            await withdraw_node(table, record)
+            await withdraw_node(table, record, present.ok_value.version)
             return absent.ok_value.row, present.ok_value.row.incarnation, list(table.rows)
 
         assert run(main) == (None, 17, [])
