Reserve the ports that tests choose among all processes of tests

Each test worker takes ports in turn from a place of its own and only looks whether a port is free. Two workers whose places lie close together choose the same port between the choice and its use, about a second later. Change: a UDP socket on the same number reserves each of the latest 200 ports of a worker.

--- a/tests/harness.py
+++ b/tests/harness.py
@@ -12,15 +12,16 @@
 import subprocess
 import sys
 import time
+from collections import deque
 from collections.abc import Callable, Iterator
-from contextlib import contextmanager, suppress
+from contextlib import contextmanager
 from dataclasses import dataclass, field
 from http.client import HTTPConnection, HTTPException, HTTPResponse
 from itertools import count
 from pathlib import Path
 from random import Random
 from select import select
-from socket import socket
+from socket import AF_INET, SOCK_DGRAM, socket
 from typing import Any, TypeVar
 
 import yaml
@@ -31,6 +32,8 @@
 RESPONSE_WITHIN_S = 10.0
 POLL_S = 0.05
 PORTS = range(10_000, 30_000)
+#: Ports that a process keeps for itself, more than one test uses.
+RESERVED_PORTS = 200
 SOURCE = Path(__file__).resolve().parent.parent / "src"
 
 T = TypeVar("T")
@@ -299,16 +302,27 @@
 
 
 _CANDIDATE_PORTS = _candidate_ports()
+#: Sockets that reserve the latest ports, oldest first.
+_RESERVATIONS: deque[socket] = deque()
 
 
 def free_port() -> int:
     """Return a port that was just free; prefer port 0 for processes that report their port.
 
     It lies outside the range from which the kernel takes the ports of outgoing connections, one of
-    which could take it before it is used.
+    which could take it before it is used. A UDP socket reserves it among all processes of tests.
     """
     for port in _CANDIDATE_PORTS:
-        with socket() as sock, suppress(OSError):
-            sock.bind((ADDRESS, port))
-            return port
+        reservation = socket(AF_INET, SOCK_DGRAM)
+        try:
+            reservation.bind((ADDRESS, port))
+            with socket() as sock:
+                sock.bind((ADDRESS, port))
+        except OSError:
+            reservation.close()
+            continue
+        _RESERVATIONS.append(reservation)
+        if len(_RESERVATIONS) > RESERVED_PORTS:
+            _RESERVATIONS.popleft().close()
+        return port
     raise HarnessError("no free port")
