Check again that no request sent after a departure runs

Cause: since the soak judges requests by when the instance starts them, up to the new run. A request that was sent in the time without an instance and started after the new run passed, which the check before did not allow. Change: both checks. A pause of 0.5 s lies between the last moment whose requests must not run and the new run, since a request that was sent just before may reach it (the error that mended).

--- a/tests/test_stop_soak.py
+++ b/tests/test_stop_soak.py
@@ -46,6 +46,8 @@
 #: Seconds after the confirmation of a departure within which requests may still arrive.
 DRAIN_S = 2.0
 SLACK_S = 0.1
+#: Time between the last request that must not run and the new run of an instance.
+NEW_RUN_AFTER_S = 0.5
 
 
 class Interruption(Enum):
@@ -87,6 +89,25 @@
     status: int | None = None
 
 
+@dataclass(frozen=True, slots=True)
+class Gone:
+    """Time without an instance, in monotonic seconds.
+
+    :param begins_at: time from which no request may reach the instance that has left.
+    :param last_sent_at: time up to which no request that is sent may run.
+    :param ends_at: time of the new run.
+    """
+
+    service: str
+    begins_at: float
+    last_sent_at: float
+    ends_at: float
+
+    def forbids(self, sent: Sent) -> bool:
+        """Return whether a request was sent at a time from which none may run."""
+        return sent.service == self.service and self.begins_at < sent.sent_at < self.last_sent_at
+
+
 class StopSoak:
     """Two nodes of different services, whose instances and clients outlive their processes.
 
@@ -100,8 +121,7 @@
         self._log: list[str] = []
         self._sent: list[Sent] = []
         self._interrupted: list[Interrupted] = []
-        #: Service, and the monotonic seconds between which no request may reach its instance.
-        self._gone: list[tuple[str, float, float]] = []
+        self._gone: list[Gone] = []
         self._numbers = count()
         self._lock = Lock()
         self._over = Event()
@@ -196,8 +216,10 @@
             self._interrupt(service, Interruption.KILL)
         assert node.send_check_in(late_check_in).status == 200
         sleep(max(confirmed_at + DRAIN_S + 1.0 - monotonic(), 0.0))
-        # The new run may get any request once it has checked in.
-        self._gone.append((service, confirmed_at + DRAIN_S, monotonic()))
+        last_sent_at = monotonic()
+        # A request that was sent just before the new run may be passed on after its check-in.
+        sleep(NEW_RUN_AFTER_S)
+        self._gone.append(Gone(service, confirmed_at + DRAIN_S, last_sent_at, monotonic()))
         self._born[service] = int(time() * 1000)
         self._leaving.discard(service)
 
@@ -213,9 +235,11 @@
             if ran and sent.status != 200:
                 timed_out = sent.ended_at - sent.sent_at >= sent.wait_s - SLACK_S
                 assert timed_out or any(each.excuses(sent) for each in self._interrupted), sent
-        for service, begins_at, ends_at in self._gone:
-            for run in self._nodes[service].runs():
-                assert not begins_at < run["started_at"] < ends_at, run
+            if any(gone.forbids(sent) for gone in self._gone):
+                assert not ran, sent
+        for gone in self._gone:
+            for run in self._nodes[gone.service].runs():
+                assert not gone.begins_at < run["started_at"] < gone.ends_at, run
 
     def _drain(self, service: str) -> Response:
         return self._nodes[service].check_in("draining", born=self._born[service])
