Close a connection only while it is idle

Cause: the watch cancels the task of the connection that has been idle for longest. A task that was woken by a request but has not run yet is cancelled at its next wait, after it has passed the request on. Change: a connection with unread bytes is not idle; the watch marks the wait that it ends, and a request read under the mark is not passed on. The same for the idle time of a connection.

--- a/src/pollenbay/callerfrontend.py
+++ b/src/pollenbay/callerfrontend.py
@@ -222,7 +222,9 @@
     """Return the next request, or None at the end of the connection."""
     ends_at = node.timer.now() + node.settings.limits.caller_idle_s + _call_time_s(pipeline)
     try:
-        with node.watch.watching_idle(task, ends_at, closable and not pipeline.calls):
+        with node.watch.watching_idle(
+            task, server.sock, ends_at, closable and not pipeline.calls
+        ) as wait:
             request = await server.read_request(partial(_hold_body, node, task, pipeline, holding))
     except HttpRequestError as error:
         release(holding)
@@ -230,8 +232,9 @@
         await pipeline.wait_until_empty()
         await server.write_failure(response_to_bad_request(error.status))
         return None
-    if request is not None:
-        request.arrived_at = node.timer.now()
+    if request is None or wait.given_up:
+        return None
+    request.arrived_at = node.timer.now()
     return request
 
 
--- a/src/pollenbay/watch.py
+++ b/src/pollenbay/watch.py
@@ -1,6 +1,7 @@
 """Watch over calls in progress: reports progress to peers, cancels calls that no caller awaits."""
 
 from collections.abc import Awaitable
+from operator import itemgetter
 from select import poll
 from typing import Generic, TypeVar
 
@@ -13,7 +14,7 @@
 from pollenbay.link import Link
 from pollenbay.outcome import NotRun, Outcome, Unknown
 from pollenbay.states import Reason
-from pollenbay.stream import CLOSED_EVENTS
+from pollenbay.stream import CLOSED_EVENTS, peer_has_sent_or_closed
 from pollenbay.timer import Timer
 
 #: Period of the checks of connections: a disconnected caller is detected within this time at each
@@ -58,12 +59,16 @@
     :param limit_at: latest value of `ends_at`, however much arrives.
     :param closable: whether the connection may be closed in favour of another one.
     :param received_at: monotonic seconds of the last bytes; None before the first.
+    :param given_up: whether the connection is being closed. Its task may still read a request,
+        which must not be passed on, since the cancellation arrives at its next wait.
     """
 
+    sock: Socket
     ends_at: float
     limit_at: float
     closable: bool
     received_at: float | None = None
+    given_up: bool = False
 
 
 class ScopedEntry(Generic[K, V]):
@@ -79,8 +84,9 @@
         self._key = key
         self._value = value
 
-    def __enter__(self) -> None:
+    def __enter__(self) -> V:
         self._entries[self._key] = self._value
+        return self._value
 
     def __exit__(self, *_: object) -> None:
         self._entries.pop(self._key, None)
@@ -120,15 +126,17 @@
             return NotRun(Reason.DRAINING)
 
     def watching_idle(
-        self, task: Task, ends_at: float, closable: bool = False
+        self, task: Task, sock: Socket, ends_at: float, closable: bool = False
     ) -> ScopedEntry[Task, RequestWait]:
         """Register a connection as waiting for a request for the length of the block.
 
+        The block gets the wait, whose `given_up` it checks once it has read a request.
+
         :param task: task that serves the connection; cancelled if the wait exceeds its limit.
         :param ends_at: monotonic seconds of that limit.
         :param closable: whether the connection may be closed earlier in favour of another one.
         """
-        return ScopedEntry(self._idle, task, RequestWait(ends_at, ends_at, closable))
+        return ScopedEntry(self._idle, task, RequestWait(sock, ends_at, ends_at, closable))
 
     def record_bytes(self, task: Task, now: float, stall_s: float) -> None:
         """Record that bytes of an awaited request have arrived.
@@ -153,7 +161,7 @@
 
         :returns: whether there was one.
         """
-        ends = {task: wait.ends_at for task, wait in self._idle.items() if wait.closable}
+        ends = [(wait.ends_at, task) for task, wait in self._idle.items() if wait.closable]
         return await self._close_first(ends)
 
     async def close_longest_stalled(self, now: float) -> bool:
@@ -162,22 +170,26 @@
         :param now: monotonic seconds.
         :returns: whether there was one that has been stalled for `STALLED_S`.
         """
-        stalled = {
-            task: wait.received_at
+        stalled = [
+            (wait.received_at, task)
             for task, wait in self._idle.items()
             if wait.closable
             and wait.received_at is not None
             and now - wait.received_at >= STALLED_S
-        }
+        ]
         return await self._close_first(stalled)
 
-    async def _close_first(self, times: dict[Task, float]) -> bool:
-        if not times:
-            return False
-        task = min(times, key=times.__getitem__)
-        del self._idle[task]
+    async def _close_first(self, times: list[tuple[float, Task]]) -> bool:
+        """Close the connection with the earliest time of those without unread bytes."""
+        for _, task in sorted(times, key=itemgetter(0)):
+            if not peer_has_sent_or_closed(self._idle[task].sock):
+                await self._give_up(task)
+                return True
+        return False
+
+    async def _give_up(self, task: Task) -> None:
+        self._idle.pop(task).given_up = True
         await task.cancel(blocking=False)
-        return True
 
     async def cancel_all(self) -> None:
         """Cancel all calls in progress; `run_watched` returns an outcome for each."""
@@ -222,8 +234,10 @@
                 await watched.task.cancel(blocking=False)
 
     async def _close_idle(self, now: float) -> None:
-        for task in [task for task, wait in self._idle.items() if now > wait.ends_at]:
-            await task.cancel(blocking=False)
+        for task, wait in list(self._idle.items()):
+            begun = wait.received_at is not None
+            if now > wait.ends_at and (begun or not peer_has_sent_or_closed(wait.sock)):
+                await self._give_up(task)
 
     def _send_progress(self) -> None:
         for watched in self._watched.values():
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -84,18 +84,36 @@
     def test_idle_connection_is_ended_after_its_time_limit(self) -> None:
         async def scenario(watch: Watch, timer: Timer) -> None:
             task = await spawn(sleep_long)
-            with watch.watching_idle(task, timer.now()):
-                await sleep(POLLS_PER_IDLE_CHECK * WATCH_PERIOD_S + WATCH_MARGIN_S)
-                assert await was_cancelled(task)
+            ours, theirs = socketpair()
+            async with ours, theirs:
+                with watch.watching_idle(task, ours, timer.now()) as wait:
+                    await sleep(POLLS_PER_IDLE_CHECK * WATCH_PERIOD_S + WATCH_MARGIN_S)
+                    assert wait.given_up
+                    assert await was_cancelled(task)
+
+        run(run_with_watch, scenario)
+
+    # A request that arrived at the end of the idle time was passed on without an answer.
+    def test_connection_with_unread_bytes_is_not_ended_as_idle(self) -> None:
+        async def scenario(watch: Watch, timer: Timer) -> None:
+            task = await spawn(sleep_long)
+            ours, theirs = socketpair()
+            async with ours, theirs:
+                await theirs.sendall(b"x")
+                with watch.watching_idle(task, ours, timer.now()):
+                    await sleep(POLLS_PER_IDLE_CHECK * WATCH_PERIOD_S + WATCH_MARGIN_S)
+                    assert not await was_cancelled(task)
 
         run(run_with_watch, scenario)
 
     def test_connection_with_a_received_request_is_not_ended(self) -> None:
         async def scenario(watch: Watch, timer: Timer) -> None:
             task = await spawn(sleep_long)
-            with watch.watching_idle(task, timer.now()):
-                pass
-            await sleep(POLLS_PER_IDLE_CHECK * WATCH_PERIOD_S + WATCH_MARGIN_S)
-            assert not await was_cancelled(task)
+            ours, theirs = socketpair()
+            async with ours, theirs:
+                with watch.watching_idle(task, ours, timer.now()):
+                    pass
+                await sleep(POLLS_PER_IDLE_CHECK * WATCH_PERIOD_S + WATCH_MARGIN_S)
+                assert not await was_cancelled(task)
 
         run(run_with_watch, scenario)
--- a/tests/test_watch_requests.py
+++ b/tests/test_watch_requests.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Awaitable, Callable
 
-from curio import Event, Task, current_task, run, spawn
+from curio import Event, Task, current_task, run, sleep, spawn
+from curio.socket import socketpair
 
 from pollenbay.watch import STALLED_S, Watch, make_watch
 
@@ -10,17 +11,24 @@
 STALL_S = 15.0
 
 
-async def wait_for_request(watch: Watch, started: Event, limit_s: float, closable: bool) -> None:
+async def wait_for_request(
+    watch: Watch, started: Event, limit_s: float, closable: bool, received: bytes
+) -> None:
     """Wait for a request until cancelled."""
-    with watch.watching_idle(await current_task(), NOW + limit_s, closable):
-        await started.set()
-        await Event().wait()
-
-
-async def start(watch: Watch, limit_s: float = 75.0, closable: bool = True) -> Task:
-    """Start a connection that waits for a request."""
+    ours, theirs = socketpair()
+    async with ours, theirs:
+        await theirs.sendall(received)
+        with watch.watching_idle(await current_task(), ours, NOW + limit_s, closable):
+            await started.set()
+            await Event().wait()
+
+
+async def start(
+    watch: Watch, limit_s: float = 75.0, closable: bool = True, received: bytes = b""
+) -> Task:
+    """Start a connection that waits for a request and has not read what it received."""
     started = Event()
-    task = await spawn(wait_for_request, watch, started, limit_s, closable, daemon=True)
+    task = await spawn(wait_for_request, watch, started, limit_s, closable, received, daemon=True)
     await started.wait()
     return task
 
@@ -43,6 +51,38 @@
     check(test)
 
 
+def test_connection_that_has_sent_is_not_idle() -> None:
+    async def test(watch: Watch) -> None:
+        sent, idle = await start(watch, 70.0, received=b"x"), await start(watch, 75.0)
+        assert await watch.close_longest_idle()
+        assert not await watch.close_longest_idle()
+        await idle.wait()
+        assert not sent.terminated
+
+    check(test)
+
+
+# The cancellation of a task that is about to run arrives after it has passed its request on.
+def test_task_that_reads_a_request_while_its_connection_is_closed_can_tell() -> None:
+    async def test(watch: Watch) -> None:
+        received = Event()
+
+        async def read() -> bool:
+            ours, theirs = socketpair()
+            async with ours, theirs:
+                with watch.watching_idle(await current_task(), ours, NOW, True) as wait:
+                    await received.wait()
+                return wait.given_up
+
+        task = await spawn(read)
+        await sleep(0)
+        await received.set()
+        assert await watch.close_longest_idle()
+        assert await task.join()
+
+    check(test)
+
+
 def test_connection_with_calls_or_of_another_port_is_never_closed() -> None:
     async def test(watch: Watch) -> None:
         task = await start(watch, closable=False)
