Let a connection give way once its calls have ended

Cause: the wait for the request behind a safe one is registered while that one runs, as a wait that does not give way and may last 60 s longer; both stayed after the call had ended. Change: the end of a connection's last call makes its wait an ordinary one.

--- a/src/pollenbay/callerfrontend.py
+++ b/src/pollenbay/callerfrontend.py
@@ -150,7 +150,7 @@
             if may_overlap(node, request):
                 is_last = not server.expects_more
                 await pipeline.wait_for_room()
-                on_end = partial(release, holding)
+                on_end = partial(_end_call, node, task, pipeline, holding, closable)
                 await pipeline.start(request, server.detach_response(), work, on_end)
                 holding = make_holding(node.body_memory, BodyHolder.CLIENT)
             else:
@@ -183,6 +183,15 @@
     return response
 
 
+def _end_call(
+    node: Node, task: Task, pipeline: Pipeline, holding: BodyHolding, closable: bool
+) -> None:
+    release(holding)
+    if not pipeline.calls:
+        ends_at = node.timer.now() + node.settings.limits.caller_idle_s
+        node.watch.record_calls_ended(task, ends_at, closable)
+
+
 def _record_bytes(node: Node, task: Task, pipeline: Pipeline) -> None:
     stall_s = node.settings.limits.caller_stall_s + _call_time_s(pipeline)
     node.watch.record_bytes(task, node.timer.now(), stall_s)
--- a/src/pollenbay/pipeline.py
+++ b/src/pollenbay/pipeline.py
@@ -78,7 +78,8 @@
 
         :param pending: sends the response.
         :param work: runs the call, in the task that it is given, and returns the response.
-        :param on_end: called when the response has been sent or is given up.
+        :param on_end: called when the response has been sent or is given up and the call no longer
+            counts.
         """
         number = self._started
         self._started += 1
@@ -103,8 +104,8 @@
                 await self._wait_for_change()
             sent = await self._send(number, pending, response)
         finally:
-            on_end()
             del self._calls[task]
+            on_end()
             self._turn += 1
             self._closed = self._closed or not sent
             await self._changed.set()
--- a/src/pollenbay/watch.py
+++ b/src/pollenbay/watch.py
@@ -149,6 +149,18 @@
             wait.received_at = now
             wait.ends_at = min(now + stall_s, wait.limit_at)
 
+    def record_calls_ended(self, task: Task, ends_at: float, closable: bool) -> None:
+        """Record that a connection whose next request is awaited has no calls any more.
+
+        :param ends_at: monotonic seconds of the limit of the wait from now on.
+        :param closable: whether the connection may be closed earlier in favour of another one.
+        """
+        wait = self._idle.get(task)
+        if wait is not None:
+            wait.limit_at = ends_at
+            wait.ends_at = min(wait.ends_at, ends_at)
+            wait.closable = closable
+
     def record_pause(self, task: Task) -> None:
         """Record that this node does not read from a connection for now, so it has not stalled."""
         wait = self._idle.get(task)
--- a/tests/test_platform_connections.py
+++ b/tests/test_platform_connections.py
@@ -34,12 +34,12 @@
     return connection
 
 
-def send_unsafe(connection: HTTPConnection, name: str) -> None:
-    """Send an unsafe request without waiting for its response."""
+def request(connection: HTTPConnection, method: str, target: str, name: str) -> None:
+    """Send a request without waiting for its response."""
     headers = {"host": HOST, "x-pollenbay-request-id": name}
     # The node may have closed the connection already.
     with suppress(OSError):
-        connection.request("POST", "/unsafe/", b"x", headers)
+        connection.request(method, target, b"x" if method == "POST" else None, headers)
 
 
 def is_answered(connection: HTTPConnection) -> bool:
@@ -60,7 +60,10 @@
     answered, unanswered = 0, set()
     for number in range(ROUNDS):
         crossing = {f"{number}-{each}": kept.popleft() for each in range(CROSSINGS)}
-        steps = [partial(send_unsafe, kept_one, name) for name, kept_one in crossing.items()]
+        steps = [
+            partial(request, kept_one, "POST", "/unsafe/", name)
+            for name, kept_one in crossing.items()
+        ]
         steps += [lambda: kept.append(connect(platform))] * CROSSINGS
         random.shuffle(steps)
         for step in steps:
@@ -75,3 +78,22 @@
         kept_one.close()
     assert answered and unanswered
     assert not unanswered & {run["name"] for run in platform.runs()}
+
+
+# Connections that had carried a safe request counted as busy for 135 s more.
+def test_connection_whose_calls_have_ended_makes_room_for_a_new_one(
+    platform: PlatformNode,
+) -> None:
+    kept = [connect(platform) for _ in range(CONNECTIONS_MAX)]
+    for number, kept_one in enumerate(kept):
+        request(kept_one, "GET", "/safe/", f"kept-{number}")
+        assert is_answered(kept_one)
+    for number in range(CROSSINGS):
+        opened = connect(platform)
+        request(opened, "GET", "/safe/", f"new-{number}")
+        assert is_answered(opened)
+        kept.append(opened)
+    for number, kept_one in enumerate(kept):
+        request(kept_one, "GET", "/safe/", f"again-{number}")
+        assert is_answered(kept_one) == (number >= CROSSINGS)
+        kept_one.close()
