Find other nodes behind the rows of many that have left

Cause: the rows of nodes that have left as planned stay for a minute since then. Forty of them fill the pages in which a new node looks for others; it found none and joined on its own. Change: the scan goes on behind such rows until it has found a few nodes.

--- a/src/pollenbay/rendezvous.py
+++ b/src/pollenbay/rendezvous.py
@@ -31,6 +31,9 @@
 OTHER_ZONES_SEED_ROWS = 32
 #: Number of rows found after which no further scan is made.
 SEED_ROWS_SUFFICIENT = 8
+#: Size and maximum number of the pages by which a scan goes on behind rows of nodes that have left.
+FURTHER_SEED_ROWS = 256
+FURTHER_SEED_PAGES_MAX = 8
 #: Age, in announcement periods, after which a row counts as abandoned.
 ABANDONED_PERIODS = 20
 #: Age after which the row of a node that has left as planned counts as abandoned.
@@ -170,14 +173,34 @@
     for order, (prefix, after, limit) in enumerate(scans):
         if order >= SEED_SCANS_MIN and len(seeds) >= SEED_ROWS_SUFFICIENT:
             break
-        result = await table.scan(prefix, after, limit)
+        result = await _scan_nodes(table, prefix, after, limit)
         if result.is_err():
             return result
-        seeds.update(_node_rows(table, result.ok_value))
+        seeds.update(result.ok_value)
     seeds.pop(record.instance, None)
     return Ok(list(seeds.values()))
 
 
+async def _scan_nodes(
+    table: Table, prefix: str, after: str, limit: int
+) -> Result[dict[InstanceId, NodeRow], TableError]:
+    """Return a bounded number of nodes that can be contacted.
+
+    After many planned stops the rows of nodes that have left may fill a page.
+    """
+    nodes: dict[InstanceId, NodeRow] = {}
+    for _ in range(1 + FURTHER_SEED_PAGES_MAX):
+        result = await table.scan(prefix, after, limit)
+        if result.is_err():
+            return result
+        rows = result.ok_value
+        nodes.update(_node_rows(table, rows))
+        if len(rows) < limit or len(nodes) >= SEED_ROWS_SUFFICIENT:
+            break
+        after, limit = rows[-1].key, FURTHER_SEED_ROWS
+    return Ok(nodes)
+
+
 async def remove_abandoned(
     table: Table, record: Record, epoch_s: float, members: int
 ) -> Result[int, TableError]:
--- a/tests/test_rendezvous.py
+++ b/tests/test_rendezvous.py
@@ -77,6 +77,21 @@
 
         assert run(main) == {"z1-000", "z1-001", "z2-000"}
 
+    # After a release the rows of departed nodes filled the page, and new nodes found no others.
+    @pytest.mark.parametrize("departed", [40, 400])
+    def test_nodes_are_found_behind_the_rows_of_many_that_have_left(self, departed):
+        table = SharedTable()
+
+        async def main():
+            for number in range(departed):
+                left = record_for(f"a-{number:03d}", state=MemberState.LEAVING)
+                await announce_node(table, left, 0.0)
+            await announce_node(table, record_for("b"), 0.0)
+            seeds = await read_seeds(table, record_for("a"))
+            return [row.instance for row in seeds.ok_value]
+
+        assert run(main) == ["b"]
+
     def test_malformed_rows_are_skipped(self):
         table = SharedTable()
 
