Remove the row of a stopping node at the begin of its stop

Cause: the stop began to remove its row when it refused new work, and cancelled that 0.2 s later if nothing was in progress. Since the row is read first, so a store that is slow for a moment leaves it. Change: the removal begins with the stop. A stop that ends before it says so; `joined` tells how many addresses were found and how many nodes answered. The new test of test_platform_path gets 503 from a node whose row is gone with the old order, 200 with the new one.

--- a/src/pollenbay/commands/joining.py
+++ b/src/pollenbay/commands/joining.py
@@ -85,7 +85,7 @@
     if responses:
         membership.gossip.view_outdated = False
     if responses or rows is not None:
-        _record_joined(membership)
+        _record_joined(membership, len(seeds), responses)
     elif not membership.joined:
         _record_problem(membership)
 
@@ -252,9 +252,10 @@
         after = response.records[-1].instance
 
 
-def _record_joined(membership: Membership) -> None:
+def _record_joined(membership: Membership, seeds: int, responses: int) -> None:
     if not membership.joined:
-        LOG.info("joined", extra={"members": len(membership.view.members)})
+        members = len(membership.view.members)
+        LOG.info("joined", extra={"members": members, "seeds": seeds, "responses": responses})
     membership.join_problem = None
 
 
--- a/src/pollenbay/commands/lifecycle.py
+++ b/src/pollenbay/commands/lifecycle.py
@@ -65,9 +65,9 @@
     node.stops_at = node.timer.now() + node.settings.leave_s + node.settings.drain_s
     change_state(node, NodeState.DRAINING)
     announce_leaving(node.membership)
+    withdrawal = await spawn(withdraw, node.membership)
     await sleep(node.settings.leave_s)
     node.rejects_new_work = True
-    withdrawal = await spawn(withdraw, node.membership)
     try:
         await timeout_after(node.stops_at - node.timer.now(), _stop_when_idle, node)
         finished = True
@@ -76,7 +76,9 @@
         await abort_calls(node)
     finished = await drain_ledger(node.ledger, RECORD_WAIT_S) == 0 and finished
     await sleep(LINGER_S)
-    await withdrawal.cancel()
+    if not withdrawal.terminated:
+        LOG.warning("row not removed before the stop")
+        await withdrawal.cancel()
     return finished
 
 
--- a/tests/platform_node.py
+++ b/tests/platform_node.py
@@ -161,6 +161,10 @@
         """Return the HTTP status of the node's readiness check."""
         return send(self.readiness_port, "/ready").status
 
+    def stored_nodes(self) -> list[dict[str, Any]]:
+        """Return the rows of nodes in the store."""
+        return send(self.store.port, "/rows-get?table=nodes&part=").json()["rows"]
+
     def runs(self) -> list[dict[str, Any]]:
         """Return the requests that the instance ran."""
         return send(self.instance.control_port, "/log").json()["runs"]
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -318,6 +318,18 @@
             node.wait()
             assert monotonic() - started_at < 2.0
 
+    # A stop that waited with it ended before a slow store had removed the row, which led new nodes
+    # to one that had left.
+    def test_row_is_removed_while_the_stopping_node_still_serves(
+        self, platform: PlatformNode
+    ) -> None:
+        node = platform.serve(make_route("/safe/"))
+        assert platform.stored_nodes()
+        node.terminate()
+        wait_until(lambda: not platform.stored_nodes(), EFFECT_WITHIN_S, "the row to be removed")
+        assert platform.send_request("/safe/").status == 200
+        assert node.wait() == 0
+
     def test_hangup_reloads_settings_without_interruption(self, platform: PlatformNode) -> None:
         node = platform.serve(make_route("/safe/"))
         text = platform.settings_path.read_text(encoding="utf-8")
