Close idle links that are of no use any more

Cause: an idle link was looked at only when its address was called again, so that links to machines that had left were never closed, up to 64 for each. Change: once a second, links that the other node has closed or that are too old to be used are closed. The gauge `pollenbay_idle_links` tells their number.

--- a/src/pollenbay/commands/maintenance.py
+++ b/src/pollenbay/commands/maintenance.py
@@ -13,7 +13,7 @@
 )
 from pollenbay.commands.serving import wake
 from pollenbay.commands.throttle import drop_removed_routes
-from pollenbay.metrics import IN_FLIGHT, LIMIT, MEMBERS, QUEUED, RULE_VERSION
+from pollenbay.metrics import IDLE_LINKS, IN_FLIGHT, LIMIT, MEMBERS, QUEUED, RULE_VERSION
 from pollenbay.node import Node
 from pollenbay.queries.admission import load
 from pollenbay.queries.feedback import local_levels
@@ -23,6 +23,8 @@
 MAINTENANCE_PERIOD_S = 0.1
 #: State of departed instances and removed routes is dropped once per this many iterations.
 ITERATIONS_PER_CLEANUP = 100
+#: Idle links to nodes that have left are closed once per this many iterations.
+ITERATIONS_PER_LINK_CHECK = 10
 
 
 async def run_maintenance(node: Node) -> None:
@@ -38,6 +40,8 @@
         _publish_load(node)
         _update_levels(node)
         iterations += 1
+        if iterations % ITERATIONS_PER_LINK_CHECK == 0:
+            await node.links.close_unused(node.timer.now())
         if iterations % ITERATIONS_PER_CLEANUP == 0:
             _drop_stale_state(node)
 
@@ -80,4 +84,5 @@
     node.metrics.set_gauge(LIMIT, current_load.limit)
     node.metrics.set_gauge(QUEUED, current_load.queued)
     node.metrics.set_gauge(RULE_VERSION, node.rulebook.version)
+    node.metrics.set_gauge(IDLE_LINKS, node.links.idle)
     node.metrics.set_gauge(MEMBERS, len(node.view.members))
--- a/src/pollenbay/link.py
+++ b/src/pollenbay/link.py
@@ -18,6 +18,7 @@
 from pollenbay.stream import (
     JOINED_BYTES_MAX,
     StreamConnectError,
+    closed_by_peers,
     open_stream,
     peer_has_closed,
     receive,
@@ -184,6 +185,11 @@
         self._memory = memory
         self._idle: dict[tuple[str, int], list[tuple[float, Link]]] = {}
 
+    @property
+    def idle(self) -> int:
+        """Return the number of idle links."""
+        return sum(map(len, self._idle.values()))
+
     async def acquire(self, address: str, port: int, now: float, idempotent: bool = True) -> Link:
         """Return an idle link that appears usable, or open a new one.
 
@@ -218,6 +224,31 @@
         for _, link in self._idle.pop((address, port), []):
             await link.close()
 
+    async def close_unused(self, now: float) -> None:
+        """Close the idle links that are too old to be used again or that the other node has closed.
+
+        :param now: monotonic seconds.
+        """
+        closed = closed_by_peers(link.sock for links in self._idle.values() for _, link in links)
+        unused = []
+        for address, idle_links in list(self._idle.items()):
+            used = []
+            for idle_since, link in idle_links:
+                if now - idle_since < IDLE_LIMIT_S and link.sock.fileno() not in closed:
+                    used.append((idle_since, link))
+                else:
+                    unused.append(link)
+            idle_links[:] = used
+            if not used:
+                del self._idle[address]
+        for link in unused:
+            await link.close()
+
+    async def close_all_idle(self) -> None:
+        """Close all idle links."""
+        for address, port in list(self._idle):
+            await self.close_idle(address, port)
+
 
 def make_link_pool(memory: BodyMemory | None = None) -> LinkPool:
     """Return a pool with no links.
--- a/src/pollenbay/metrics.py
+++ b/src/pollenbay/metrics.py
@@ -96,6 +96,9 @@
 )
 QUEUED = Instrument("pollenbay_queued", InstrumentKind.GAUGE, "Calls that wait for a slot.")
 RULE_VERSION = Instrument("pollenbay_rule_version", InstrumentKind.GAUGE, "Active rule version.")
+IDLE_LINKS = Instrument(
+    "pollenbay_idle_links", InstrumentKind.GAUGE, "Links to other nodes that carry no call."
+)
 MEMBERS = Instrument("pollenbay_members", InstrumentKind.GAUGE, "Instances in the view.")
 INSTRUMENTS = (
     CALL_SECONDS,
@@ -111,6 +114,7 @@
     LIMIT,
     QUEUED,
     RULE_VERSION,
+    IDLE_LINKS,
     MEMBERS,
 )
 
--- a/src/pollenbay/stream.py
+++ b/src/pollenbay/stream.py
@@ -1,6 +1,6 @@
 """TCP streams: connecting by IP address without name resolution, listening, and closed peers."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from select import POLLERR, POLLHUP, POLLIN, POLLRDHUP, poll
 
 from curio import TaskGroup, TaskTimeout, timeout_after
@@ -117,6 +117,14 @@
     return _has_event(sock, CLOSED_EVENTS | POLLIN)
 
 
+def closed_by_peers(socks: Iterable[Socket]) -> set[int]:
+    """Return, without waiting, the descriptors of the connections that their other sides closed."""
+    poller = poll()
+    for sock in socks:
+        poller.register(sock.fileno(), CLOSED_EVENTS)
+    return {descriptor for descriptor, _ in poller.poll(0)}
+
+
 def _has_event(sock: Socket, events: int) -> bool:
     poller = poll()
     poller.register(sock.fileno(), events)
--- a/tests/test_link.py
+++ b/tests/test_link.py
@@ -9,7 +9,13 @@
 
 from pollenbay.bodymemory import COPIES, MEMORY_MB, make_body_memory
 from pollenbay.ids import CallId
-from pollenbay.link import Link, LinkBrokenError, LinkMessageError
+from pollenbay.link import (
+    IDLE_LIMIT_S,
+    Link,
+    LinkBrokenError,
+    LinkMessageError,
+    make_link_pool,
+)
 from pollenbay.linkmessage import (
     AnyLinkMessage,
     NotRunMessage,
@@ -116,3 +122,22 @@
     def test_truncated_message_is_not_received(self, length: int) -> None:
         encoded = run(encode_all, ANSWER_MESSAGE)
         assert run(receive_all, encoded[: min(length, len(encoded) - 1)]) == []
+
+
+class TestPool:
+    """Links that carry no call."""
+
+    def test_links_that_are_too_old_or_closed_by_the_other_node_are_closed(self) -> None:
+        async def main() -> list[int]:
+            pool = make_link_pool()
+            kept, aged, broken = socketpair(), socketpair(), socketpair()
+            await pool.release("10.0.0.1", 1, Link(aged[0]), 0.0)
+            await pool.release("10.0.0.1", 1, Link(kept[0]), IDLE_LIMIT_S)
+            await pool.release("10.0.0.2", 1, Link(broken[0]), IDLE_LIMIT_S)
+            await broken[1].close()
+            await pool.close_unused(IDLE_LIMIT_S)
+            assert pool.idle == 1
+            return [pair[0].fileno() for pair in (kept, aged, broken)]
+
+        kept, aged, broken = run(main)
+        assert kept >= 0 and aged == broken == -1
