Go on accepting after a connection found no descriptor

Cause: an error of `accept` ended the task of the listening socket, and the end of one task ends the process. A socket that could not be made raised an error that the tasks above do not expect. Change: a failed accept is logged once, counted (`pollenbay_no_descriptor`), closes what is idle and is repeated after 0.1 s. A socket that cannot be made is a connection that cannot be opened.

--- a/src/pollenbay/daemon.py
+++ b/src/pollenbay/daemon.py
@@ -19,6 +19,7 @@
 from pollenbay.admin import serve_admin
 from pollenbay.callerfrontend import make_caller_connections, serve_caller, serve_target
 from pollenbay.commands.adoption import adopt
+from pollenbay.commands.descriptors import free_descriptors
 from pollenbay.commands.gossiping import run_membership
 from pollenbay.commands.lifecycle import LINGER_S, abort_calls, drain
 from pollenbay.commands.maintenance import run_maintenance
@@ -114,11 +115,13 @@
     plain = PlainListeners(listen(address, ports.callers), listen(address, ports.outbound))
     adapter = make_plain_adapter(settings.table)
     node = make_node(settings, port_of(listeners.link), adopt, read_current, adapter)
+    make_room = partial(free_descriptors, node)
+    serve_callers = partial(make_caller_connections().serve, node, serve_caller)
     tasks = [
         node.ledger.run(),
         run_sweeper(node.ledger),
-        accept_streams(plain.callers, partial(make_caller_connections().serve, node, serve_caller)),
-        accept_streams(plain.outbound, partial(serve_target, node)),
+        accept_streams(plain.callers, serve_callers, make_room),
+        accept_streams(plain.outbound, partial(serve_target, node), make_room),
     ]
     return await _run(
         node, path, listeners, [*tasks, *_common_tasks(node, listeners, adapter)], plain
@@ -163,12 +166,13 @@
 
 def _common_tasks(node: Node, listeners: Listeners, adapter: Adapter) -> list[Awaitable[None]]:
     """Return the tasks of every node; the timer is last, so that it starts with subscribers."""
+    make_room = partial(free_descriptors, node)
     return [
         node.watch.run(node.timer),
         run_membership(node.membership, adapter.run_rule_sync),
         run_maintenance(node),
-        accept_streams(listeners.link, partial(serve_link, node)),
-        accept_streams(listeners.admin, partial(serve_admin, node)),
+        accept_streams(listeners.link, partial(serve_link, node), make_room),
+        accept_streams(listeners.admin, partial(serve_admin, node), make_room),
         node.timer.run(),
     ]
 
--- a/src/pollenbay/metrics.py
+++ b/src/pollenbay/metrics.py
@@ -88,6 +88,11 @@
     "State changes of the node and the target.",
     ("state",),
 )
+NO_DESCRIPTOR = Instrument(
+    "pollenbay_no_descriptor",
+    InstrumentKind.COUNTER,
+    "Attempts to accept a connection that found no descriptor.",
+)
 IN_FLIGHT = Instrument(
     "pollenbay_in_flight", InstrumentKind.GAUGE, "Calls that the target is running."
 )
@@ -110,6 +115,7 @@
     ATTEMPTS,
     BAD_INPUT,
     STATE_CHANGES,
+    NO_DESCRIPTOR,
     IN_FLIGHT,
     LIMIT,
     QUEUED,
@@ -207,6 +213,10 @@
         """Record a state change of the node or the target."""
         self._tallies[STATE_CHANGES].add(state)
 
+    def record_no_descriptor(self) -> None:
+        """Record an attempt to accept a connection that found no descriptor."""
+        self._tallies[NO_DESCRIPTOR].add()
+
     def _caller_label(self, caller: CallerId) -> str:
         if caller in self._callers:
             return caller
--- a/src/pollenbay/platform/frontend.py
+++ b/src/pollenbay/platform/frontend.py
@@ -8,6 +8,7 @@
 from pollenbay.adapter import Adapter
 from pollenbay.budget import RetryRates
 from pollenbay.callerfrontend import make_caller_connections
+from pollenbay.commands.descriptors import free_descriptors
 from pollenbay.node import Node
 from pollenbay.platform.checkins import make_check_ins, serve_check_ins, serve_readiness
 from pollenbay.platform.instance import make_instance_dialect
@@ -60,7 +61,8 @@
         (settings.check_ins, partial(serve_check_ins, check_ins, node)),
         (settings.readiness, partial(serve_readiness, node)),
     )
-    return [accept_streams(_listen(text), serve) for text, serve in ports]
+    make_room = partial(free_descriptors, node)
+    return [accept_streams(_listen(text), serve, make_room) for text, serve in ports]
 
 
 def _listen(text: str) -> Socket:
--- a/src/pollenbay/stream.py
+++ b/src/pollenbay/stream.py
@@ -1,9 +1,11 @@
 """TCP streams: connecting by IP address without name resolution, listening, and closed peers."""
 
 from collections.abc import Awaitable, Callable, Iterable
+from errno import EMFILE, ENFILE
+from logging import getLogger
 from select import POLLERR, POLLHUP, POLLIN, POLLRDHUP, poll
 
-from curio import TaskGroup, TaskTimeout, timeout_after
+from curio import TaskGroup, TaskTimeout, sleep, timeout_after
 from curio.io import Socket
 from curio.socket import AF_INET, IPPROTO_TCP, SO_REUSEADDR, SOCK_STREAM, SOL_SOCKET, TCP_NODELAY
 from curio.socket import socket as make_socket
@@ -14,6 +16,14 @@
 #: Longest message whose parts are joined before they are sent.
 JOINED_BYTES_MAX = 65536
 CLOSED_EVENTS = POLLRDHUP | POLLHUP | POLLERR
+#: Time between two attempts to accept a connection after one has failed.
+ACCEPT_RETRY_S = 0.1
+DESCRIPTOR_ERRNOS = frozenset({EMFILE, ENFILE})
+
+LOG = getLogger("pollenbay.stream")
+
+Serve = Callable[[Socket], Awaitable[None]]
+FreeDescriptors = Callable[[], Awaitable[None]]
 
 
 class StreamError(Exception):
@@ -29,7 +39,10 @@
 
     :raises StreamConnectError: if it cannot be opened in time.
     """
-    sock = make_socket(AF_INET, SOCK_STREAM)
+    try:
+        sock = make_socket(AF_INET, SOCK_STREAM)
+    except OSError as error:
+        raise StreamConnectError(f"{address}:{port}: {error}") from error
     try:
         await timeout_after(timeout_s, sock.connect, (address, port))
     except (OSError, OverflowError, ValueError, TaskTimeout) as error:
@@ -57,27 +70,47 @@
     return sock.getsockname()[1]
 
 
-async def accept_streams(sock: Socket, serve: Callable[[Socket], Awaitable[None]]) -> None:
-    """Run one task for each accepted connection until cancelled, then cancel them all."""
+async def accept_streams(
+    sock: Socket, serve: Serve, free_descriptors: FreeDescriptors | None = None
+) -> None:
+    """Run one task for each accepted connection until cancelled, then cancel them all.
+
+    :param free_descriptors: called when a connection waits because the process has no descriptor
+        for it.
+    """
     async with TaskGroup() as group:
-        await group.spawn(_accept_each, sock, serve, group)
+        await group.spawn(_accept_each, sock, serve, free_descriptors, group)
         async for task in group:
             task.joined = True
 
 
 async def _accept_each(
-    sock: Socket, serve: Callable[[Socket], Awaitable[None]], group: TaskGroup
+    sock: Socket, serve: Serve, free_descriptors: FreeDescriptors | None, group: TaskGroup
 ) -> None:
+    failing = False
     async with sock:
         while True:
-            stream, _ = await sock.accept()
-            stream.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
+            try:
+                stream, _ = await sock.accept()
+            except OSError as error:
+                # A listener that gave up would take the node out of service for good.
+                if not failing:
+                    LOG.warning("connections are not accepted", extra={"error": str(error)})
+                failing = True
+                if error.errno in DESCRIPTOR_ERRNOS and free_descriptors is not None:
+                    await free_descriptors()
+                await sleep(ACCEPT_RETRY_S)
+                continue
+            if failing:
+                LOG.info("connections are accepted again")
+            failing = False
             await group.spawn(_serve_one, stream, serve)
 
 
-async def _serve_one(stream: Socket, serve: Callable[[Socket], Awaitable[None]]) -> None:
+async def _serve_one(stream: Socket, serve: Serve) -> None:
     async with stream:
         try:
+            stream.setsockopt(IPPROTO_TCP, TCP_NODELAY, 1)
             await serve(stream)
         except OSError:
             return
