Show which calls a stop cuts, and responses that are not sent

A call that the end of a stop cuts was counted but not named, nothing said when it had begun, and responses that were still being sent were not counted at all. Change: a line and a counter for each cut call with its stage; a gauge of the requests whose response is due, which the last lines of a stop repeat; a line for the signal that requests the stop.

--- a/src/pollenbay/call.py
+++ b/src/pollenbay/call.py
@@ -13,7 +13,7 @@
     ServiceName,
 )
 from pollenbay.outcome import Headers
-from pollenbay.states import CallClass
+from pollenbay.states import CallClass, CallStage
 
 MS_PER_S = 1000.0
 
@@ -103,18 +103,29 @@
 class CallProgress(Struct):
     """Progress of a call through this node, watched while it runs.
 
+    :param call: the call, once its request has been read.
     :param cancellable: whether the call may be cancelled when its caller disconnects.
     :param sent: whether the target may have received a byte of it.
+    :param begun_at: monotonic seconds at which it was sent to the local target; None before.
     :param self_time_s: seconds that the target itself took, without waiting for its nested calls.
     :param sender_deadline: deadline, in monotonic seconds, of a call that its sender cancels in
         time; None if this node cancels it.
     """
 
+    call: Call | None = None
     cancellable: bool = True
     sent: bool = False
+    begun_at: float | None = None
     self_time_s: float = 0.0
     sender_deadline: float | None = None
 
+    @property
+    def stage(self) -> CallStage:
+        """Return how far the call has got."""
+        if self.begun_at is not None:
+            return CallStage.BEGUN
+        return CallStage.PASSED_ON if self.sent else CallStage.WAITING
+
 
 def deadline_of(wait_ms: int, caller_wait_s: float | None, now: float) -> float:
     """Return the monotonic seconds by which a response must reach its caller.
--- a/src/pollenbay/callerfrontend.py
+++ b/src/pollenbay/callerfrontend.py
@@ -21,6 +21,7 @@
     wait_for_token,
 )
 from pollenbay.commands.entry import enter_from_caller, enter_from_target
+from pollenbay.exchange import Exchange
 from pollenbay.http1 import HttpRequest, HttpRequestError, HttpResponse
 from pollenbay.httpserver import HttpServer
 from pollenbay.ids import CallerId
@@ -141,22 +142,26 @@
     )
     served = 0
     holding = make_holding(node.body_memory, BodyHolder.CLIENT)
+    exchange: Exchange | None = None
     try:
         while True:
             request = await _read_request(node, server, pipeline, task, source, holding, closable)
             if request is None or pipeline.closed:
                 return
+            exchange = node.exchanges.begin()
             work = partial(_respond, node, sock, request, respond, holding)
             if may_overlap(node, request):
                 is_last = not server.expects_more
                 await pipeline.wait_for_room()
-                on_end = partial(_end_call, node, task, pipeline, holding, closable)
+                on_end = partial(_end_call, node, task, pipeline, holding, exchange, closable)
                 await pipeline.start(request, server.detach_response(), work, on_end)
+                exchange = None
                 holding = make_holding(node.body_memory, BodyHolder.CLIENT)
             else:
                 await pipeline.wait_until_empty()
                 is_last = not await server.write_response(await work(task))
                 release(holding)
+                exchange.end()
             if is_last:
                 await pipeline.wait_until_empty()
                 return
@@ -165,6 +170,8 @@
                 await sleep(0)
     finally:
         release(holding)
+        if exchange is not None:
+            exchange.end()
         await pipeline.cancel()
 
 
@@ -184,9 +191,15 @@
 
 
 def _end_call(
-    node: Node, task: Task, pipeline: Pipeline, holding: BodyHolding, closable: bool
+    node: Node,
+    task: Task,
+    pipeline: Pipeline,
+    holding: BodyHolding,
+    exchange: Exchange,
+    closable: bool,
 ) -> None:
     release(holding)
+    exchange.end()
     if not pipeline.calls:
         ends_at = node.timer.now() + node.settings.limits.caller_idle_s
         node.watch.record_calls_ended(task, ends_at, closable)
--- a/src/pollenbay/commands/calling.py
+++ b/src/pollenbay/commands/calling.py
@@ -83,6 +83,7 @@
     node: Node, call: Call, account: RetryAccount, progress: CallProgress
 ) -> Outcome:
     """Place a call at a target of the service selected for it and return its outcome."""
+    progress.call = call
     excluded: frozenset[InstanceId] = frozenset()
     budget = node.budgets.for_service(call.service)
     record_first_attempt(budget, call.call_class, node.timer.now())
@@ -174,6 +175,7 @@
     """
     progress.cancellable = True
     progress.sent = sent_before
+    progress.begun_at = None
 
 
 def _result_of(outcome: Outcome) -> AttemptResult:
--- a/src/pollenbay/commands/lifecycle.py
+++ b/src/pollenbay/commands/lifecycle.py
@@ -8,8 +8,10 @@
 from pollenbay.commands.claim import drain_ledger
 from pollenbay.commands.dispatch import execute
 from pollenbay.commands.gossiping import announce_leaving, withdraw
+from pollenbay.decisions import Decision, fields_of_call
 from pollenbay.node import Node
 from pollenbay.states import NodeState
+from pollenbay.watch import WatchedCall
 
 LOG = getLogger("pollenbay.node")
 DRAIN_POLL_S = 0.05
@@ -62,7 +64,8 @@
     stop are cancelled, so that their callers get an outcome. Responses of claimed calls are written
     before the process ends.
     """
-    node.stops_at = node.timer.now() + node.settings.leave_s + node.settings.drain_s
+    node.stopping_since = node.timer.now()
+    node.stops_at = node.stopping_since + node.settings.leave_s + node.settings.drain_s
     change_state(node, NodeState.DRAINING)
     announce_leaving(node.membership)
     withdrawal = await spawn(withdraw, node.membership)
@@ -79,16 +82,36 @@
     if not withdrawal.terminated:
         LOG.warning("row not removed before the stop")
         await withdrawal.cancel()
+    if node.exchanges.open:
+        LOG.warning("responses not sent", extra={"open_exchanges": node.exchanges.open})
     return finished
 
 
 async def abort_calls(node: Node) -> None:
     """Accept no further calls and cancel those in progress; their callers get an outcome."""
     change_state(node, NodeState.STOPPED)
-    LOG.warning("calls outlast the stop", extra={"in_progress": node.watch.in_progress})
+    fields = {"in_progress": node.watch.in_progress, "open_exchanges": node.exchanges.open}
+    LOG.warning("calls outlast the stop", extra=fields)
+    for watched in node.watch.calls:
+        node.metrics.record_cut_call(watched.progress.stage)
+        if node.decisions.reserve_line(Decision.CUT):
+            _log_cut_call(node, watched)
     await node.watch.cancel_all()
 
 
+def _log_cut_call(node: Node, watched: WatchedCall) -> None:
+    now, progress = node.timer.now(), watched.progress
+    call_fields = {} if progress.call is None else fields_of_call(progress.call, now)
+    fields = {
+        **call_fields,
+        "stage": progress.stage.value,
+        "begun_s_ago": None if progress.begun_at is None else round(now - progress.begun_at, 3),
+        "from_node": watched.link is not None,
+        "stopping_since_s": round(now - node.stopping_since, 3),
+    }
+    node.decisions.write(Decision.CUT, fields)
+
+
 async def _stop_when_idle(node: Node) -> None:
     # No other task runs between the last check and the change of state.
     while node.watch.in_progress or node.gate.in_flight:
--- a/src/pollenbay/commands/maintenance.py
+++ b/src/pollenbay/commands/maintenance.py
@@ -13,7 +13,15 @@
 )
 from pollenbay.commands.serving import wake
 from pollenbay.commands.throttle import drop_removed_routes
-from pollenbay.metrics import IDLE_LINKS, IN_FLIGHT, LIMIT, MEMBERS, QUEUED, RULE_VERSION
+from pollenbay.metrics import (
+    IDLE_LINKS,
+    IN_FLIGHT,
+    LIMIT,
+    MEMBERS,
+    OPEN_EXCHANGES,
+    QUEUED,
+    RULE_VERSION,
+)
 from pollenbay.node import Node
 from pollenbay.queries.admission import load
 from pollenbay.queries.feedback import local_levels
@@ -83,6 +91,7 @@
     node.metrics.set_gauge(IN_FLIGHT, current_load.in_flight)
     node.metrics.set_gauge(LIMIT, current_load.limit)
     node.metrics.set_gauge(QUEUED, current_load.queued)
+    node.metrics.set_gauge(OPEN_EXCHANGES, node.exchanges.open)
     node.metrics.set_gauge(RULE_VERSION, node.rulebook.version)
     node.metrics.set_gauge(IDLE_LINKS, node.links.idle)
     node.metrics.set_gauge(MEMBERS, len(node.view.members))
--- a/src/pollenbay/commands/serving.py
+++ b/src/pollenbay/commands/serving.py
@@ -35,6 +35,7 @@
     :param allowance: retry tokens delegated for the nested calls of the target.
     :param progress: updated here; the watch reads from it whether the call may be cancelled.
     """
+    progress.call = call
     outcome = await _serve(node, call, allowance, progress)
     record_outcome(outcome, node.metrics, call)
     answered = isinstance(outcome, Answered)
@@ -220,6 +221,7 @@
         return NotRun(Reason.DEADLINE)
     progress.cancellable = call.idempotent
     progress.sent = True
+    progress.begun_at = node.timer.now()
     limit_s: float | None = time_left_s
     if call.requires_claim:
         limit_s = time_left_s + RECORD_GRACE_S
--- a/src/pollenbay/daemon.py
+++ b/src/pollenbay/daemon.py
@@ -203,8 +203,9 @@
 
 async def _wait_for_stop(node: Node, path: Path, signals: StopSignals) -> None:
     """Return at the first stop signal; SIGHUP reloads the settings."""
-    while await signals.wait() == SIGHUP:
+    while (signal := await signals.wait()) == SIGHUP:
         reload_settings(node, path)
+    LOG.info("stop requested", extra={"signal": signal.name})
 
 
 async def _drain(node: Node) -> int:
@@ -215,7 +216,7 @@
 async def _abort_on_second_signal(node: Node, signals: StopSignals) -> int:
     while await signals.wait() == SIGHUP:
         LOG.info("hangup passed over while stopping")
-    LOG.warning("stop without waiting")
+    LOG.warning("stop without waiting", extra={"in_progress": node.watch.in_progress})
     await abort_calls(node)
     await sleep(LINGER_S)
     return EXIT_CALLS_ABORTED
--- a/src/pollenbay/decisions.py
+++ b/src/pollenbay/decisions.py
@@ -22,6 +22,7 @@
 
     THROTTLED = "held back at the entry"
     STOPPING = "refused in a planned stop"
+    CUT = "cut by the end of the stop"
     FAILED = "request failed"
     NOT_ANSWERED = "not answered beside the target"
 
--- a/src/pollenbay/linkfrontend.py
+++ b/src/pollenbay/linkfrontend.py
@@ -47,15 +47,19 @@
     feedback_sent_at = 0.0
     while (message := await link.receive()) is not None:
         call_message = _require_call(message)
-        reply = await _serve_call(node, link, task, call_message)
-        now = node.timer.now()
-        if now - feedback_sent_at >= FEEDBACK_INTERVAL_MIN_S:
-            reply.feedback = make_feedback(node, call_message.name, now)
-            feedback_sent_at = now
-        if isinstance(reply, ResponseMessage) and len(reply.body) > SMALL_BODY_MAX_BYTES:
-            await _send_long_reply(node, link, reply)
-        else:
-            await link.send(reply)
+        exchange = node.exchanges.begin()
+        try:
+            reply = await _serve_call(node, link, task, call_message)
+            now = node.timer.now()
+            if now - feedback_sent_at >= FEEDBACK_INTERVAL_MIN_S:
+                reply.feedback = make_feedback(node, call_message.name, now)
+                feedback_sent_at = now
+            if isinstance(reply, ResponseMessage) and len(reply.body) > SMALL_BODY_MAX_BYTES:
+                await _send_long_reply(node, link, reply)
+            else:
+                await link.send(reply)
+        finally:
+            exchange.end()
         if node.state is NodeState.STOPPED:
             # If the stop has cancelled the call, this task cannot be cancelled once more.
             return
--- a/src/pollenbay/metrics.py
+++ b/src/pollenbay/metrics.py
@@ -10,7 +10,7 @@
 
 from pollenbay.ids import CallerId
 from pollenbay.outcome import OUTCOME_NAMES, Outcome
-from pollenbay.states import CallClass, Reason
+from pollenbay.states import CallClass, CallStage, Reason
 from pollenbay.tally import CounterTally, GaugeTally, SecondsTally
 
 CALLER_LABELS_MAX = 50
@@ -88,6 +88,12 @@
     "State changes of the node and the target.",
     ("state",),
 )
+CUT_CALLS = Instrument(
+    "pollenbay_cut_calls",
+    InstrumentKind.COUNTER,
+    "Calls cut by the end of a planned stop, by how far they had got.",
+    ("stage",),
+)
 NO_DESCRIPTOR = Instrument(
     "pollenbay_no_descriptor",
     InstrumentKind.COUNTER,
@@ -100,6 +106,11 @@
     "pollenbay_limit", InstrumentKind.GAUGE, "Calls that the target may run at once."
 )
 QUEUED = Instrument("pollenbay_queued", InstrumentKind.GAUGE, "Calls that wait for a slot.")
+OPEN_EXCHANGES = Instrument(
+    "pollenbay_open_exchanges",
+    InstrumentKind.GAUGE,
+    "Requests that were read and whose response has not been sent completely.",
+)
 RULE_VERSION = Instrument("pollenbay_rule_version", InstrumentKind.GAUGE, "Active rule version.")
 IDLE_LINKS = Instrument(
     "pollenbay_idle_links", InstrumentKind.GAUGE, "Links to other nodes that carry no call."
@@ -115,10 +126,12 @@
     ATTEMPTS,
     BAD_INPUT,
     STATE_CHANGES,
+    CUT_CALLS,
     NO_DESCRIPTOR,
     IN_FLIGHT,
     LIMIT,
     QUEUED,
+    OPEN_EXCHANGES,
     RULE_VERSION,
     IDLE_LINKS,
     MEMBERS,
@@ -213,6 +226,10 @@
         """Record a state change of the node or the target."""
         self._tallies[STATE_CHANGES].add(state)
 
+    def record_cut_call(self, stage: CallStage) -> None:
+        """Record a call that the end of a planned stop has cut."""
+        self._tallies[CUT_CALLS].add(stage.value)
+
     def record_no_descriptor(self) -> None:
         """Record an attempt to accept a connection that found no descriptor."""
         self._tallies[NO_DESCRIPTOR].add()
--- a/src/pollenbay/node.py
+++ b/src/pollenbay/node.py
@@ -13,6 +13,7 @@
 from pollenbay.contexts import Contexts, make_contexts
 from pollenbay.decisions import DecisionLog, make_decision_log
 from pollenbay.departures import Departures
+from pollenbay.exchange import Exchanges, make_exchanges
 from pollenbay.gate import Gate, make_gate
 from pollenbay.ids import Incarnation, ServiceName
 from pollenbay.ledger import Ledger, make_ledger
@@ -47,6 +48,7 @@
     :param downstream_called_at: services that the local target calls, with the monotonic seconds of
         the last call.
     :param rejects_new_work: whether new work is rejected because the node is leaving.
+    :param stopping_since: monotonic seconds at which a planned stop began; infinite before.
     :param stops_at: monotonic seconds by which a planned stop cancels the calls in progress;
         infinite before a stop begins.
     :param stopping: set when a planned stop was requested.
@@ -67,6 +69,7 @@
     links: LinkPool
     body_memory: BodyMemory
     watch: Watch
+    exchanges: Exchanges
     membership: Membership
     metrics: Metrics
     random: Random
@@ -78,6 +81,7 @@
     downstream_called_at: dict[ServiceName, float] = field(default_factory=dict)
     state: NodeState = NodeState.STARTING
     rejects_new_work: bool = False
+    stopping_since: float = inf
     stops_at: float = inf
     stopping: Event = field(default_factory=Event)
 
@@ -136,6 +140,7 @@
         ledger=ledger,
         links=make_link_pool(body_memory),
         watch=make_watch(),
+        exchanges=make_exchanges(),
         membership=membership,
         metrics=make_metrics(),
         random=Random(),
--- a/src/pollenbay/states.py
+++ b/src/pollenbay/states.py
@@ -15,6 +15,17 @@
         self.rank = len(type(self).__members__)
 
 
+class CallStage(Enum):
+    """How far a call has got at one node."""
+
+    #: No target can have received it.
+    WAITING = "waiting"
+    #: It was passed on to another node.
+    PASSED_ON = "passed-on"
+    #: The local target may have received it.
+    BEGUN = "begun"
+
+
 class NodeState(Enum):
     """Lifecycle of a node process; a stopped node accepts no call while its process ends."""
 
--- a/src/pollenbay/watch.py
+++ b/src/pollenbay/watch.py
@@ -105,6 +105,11 @@
         """Return the number of calls in progress."""
         return len(self._watched)
 
+    @property
+    def calls(self) -> list[WatchedCall]:
+        """Return the calls in progress."""
+        return list(self._watched.values())
+
     @property
     def left(self) -> int:
         """Return the number of calls cancelled because their caller had disconnected."""
@@ -205,7 +210,7 @@
 
     async def cancel_all(self) -> None:
         """Cancel all calls in progress; `run_watched` returns an outcome for each."""
-        for watched in list(self._watched.values()):
+        for watched in self.calls:
             await watched.task.cancel(exc=ShutdownCancelled, blocking=False)
 
     async def run(self, timer: Timer) -> None:
@@ -238,7 +243,7 @@
                     await watched.task.cancel(blocking=False)
 
     async def _cancel_overdue(self, now: float) -> None:
-        for watched in list(self._watched.values()):
+        for watched in self.calls:
             ends_at = watched.progress.sender_deadline
             if ends_at is not None and now > ends_at + OVERDUE_S:
                 watched.progress.sender_deadline = None
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -104,6 +104,10 @@
         """Return the standard error output."""
         return self.error_path.read_text(encoding="utf-8", errors="replace")
 
+    def log_lines(self) -> list[dict[str, Any]]:
+        """Return the log lines that were not read yet, once the process has ended."""
+        return [json.loads(line) for line in self.popen.stdout.read().splitlines()]
+
     def _state(self) -> str:
         stat = Path(f"/proc/{self.pid}/stat").read_text(encoding="ascii")
         return stat.rpartition(")")[2].split()[0]
--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -165,3 +165,20 @@
         node.terminate()
         assert answer.result().status == 502
     node.wait(ENDED_WITHIN_S)
+
+
+def test_call_that_the_end_of_a_stop_cuts_is_named_in_the_log(platform: PlatformNode) -> None:
+    node = platform.serve(make_route("/unsafe/", "unsafe", timeout_ms=30_000))
+    with ThreadPoolExecutor(1) as pool:
+        answer = pool.submit(
+            platform.send_request, "/unsafe/?work_s=8", "POST", body=b"x", name="long"
+        )
+        wait_until(lambda: platform.has_started("long"), STARTED_WITHIN_S, "the request to run")
+        node.terminate()
+        assert answer.result().status == 502
+    node.wait()
+    lines = {line["message"]: line for line in node.log_lines()}
+    cut = lines["cut by the end of the stop"]
+    assert (cut["request"], cut["stage"], cut["from_node"]) == ("long", "begun", False)
+    assert cut["begun_s_ago"] >= cut["stopping_since_s"] > 0.0
+    assert lines["stop requested"]["signal"] == "SIGTERM"
