Stop a node as planned when one of its tasks fails

What callers saw: connections that end without an answer, of all requests in progress at a node. Cause: an exception in any of the node's own tasks (maintenance, membership, feeds, listeners) ended the process at once. Found by reading, as a way to lose accepted requests; no such exception is known. Change: a task that fails or ends is logged and requests the planned stop, which lets calls in progress complete. The exit code is 3. Measured: the new test makes the maintenance fail beside a request of 1 s. Before, its connection ended without an answer; now it gets 200. Tests of stops and settings pass.

--- a/src/pollenbay/daemon.py
+++ b/src/pollenbay/daemon.py
@@ -9,7 +9,7 @@
 from sys import exit
 
 import click
-from curio import TaskGroup, run, sleep
+from curio import Event, TaskGroup, TaskTimeout, run, sleep
 from curio.io import Socket
 from msgspec import Struct
 from msgspec.json import encode
@@ -40,6 +40,7 @@
 EXIT_OK = 0
 EXIT_CALLS_ABORTED = 1
 EXIT_BAD_SETTINGS = 2
+EXIT_TASK_FAILED = 3
 
 
 class Ready(Struct, frozen=True):
@@ -83,7 +84,8 @@
 
     Prints one JSON line with its ports when it listens. SIGTERM stops it as planned: calls in
     flight end first. SIGINT ends a stopping node at once; SIGTERM and SIGHUP do not. Exit code 0
-    after a planned stop, 1 if calls were cut short, 2 for wrong settings.
+    after a planned stop, 1 if calls were cut short, 2 for wrong settings, 3 if a task of the node
+    failed, which stops it as planned too.
     """
     settings = load_settings(path)
     if isinstance(settings, Err):
@@ -150,13 +152,29 @@
     _print_ready(node, listeners, plain)
     configure_logging(settings.log_level, settings.instance, settings.host)
     LOG.info("start", extra={"service": settings.service, "zone": settings.zone})
+    failed = Event()
     async with TaskGroup(wait=any) as group:
-        for task in tasks:
-            await group.spawn(task)
-        await group.spawn(watch_settings, node, path)
+        for task in [*tasks, watch_settings(node, path)]:
+            await group.spawn(_supervise, node, task, failed)
         await group.spawn(_stop_on_request, node, path)
-    LOG.info("stop", extra={"exit_code": group.result})
-    return group.result
+    exit_code = EXIT_TASK_FAILED if failed.is_set() else group.result
+    LOG.info("stop", extra={"exit_code": exit_code})
+    return exit_code
+
+
+async def _supervise(node: Node, work: Awaitable[None], failed: Event) -> None:
+    """Run a task of the node, and stop the node as planned if the task fails or ends.
+
+    The end of the process would cut the calls in progress, which do not depend on most tasks.
+    """
+    try:
+        await work
+        LOG.error("task ended", extra={"task": work.__name__})
+    except (Exception, TaskTimeout):
+        LOG.exception("task failed", extra={"task": work.__name__})
+    await failed.set()
+    await node.stopping.set()
+    await Event().wait()
 
 
 def _listen(settings: Settings) -> Listeners:
--- a/tests/platform_node.py
+++ b/tests/platform_node.py
@@ -95,10 +95,8 @@
             },
         }
 
-    def start(self) -> Process:
-        return self._processes.start(
-            "node", "pollenbay.daemon", "--settings", str(self.settings_path)
-        )
+    def start(self, module: str = "pollenbay.daemon") -> Process:
+        return self._processes.start("node", module, "--settings", str(self.settings_path))
 
     def restart(self, process: Process, kill: bool = True) -> Process:
         """Kill or stop the process of the node, start the next one and wait until it is ready."""
--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -7,9 +7,11 @@
 from time import sleep
 
 from harness import Process, Processes, wait_until
-from platform_node import PlatformNode, make_route
+from platform_node import PlatformNode, make_config, make_route
 from pytest import fixture, mark
 
+from pollenbay.daemon import EXIT_TASK_FAILED
+
 pytestmark = mark.alone
 
 CLIENTS = 8
@@ -182,3 +184,16 @@
     assert (cut["request"], cut["stage"], cut["from_node"]) == ("long", "begun", False)
     assert cut["begun_s_ago"] >= cut["stopping_since_s"] > 0.0
     assert lines["stop requested"]["signal"] == "SIGTERM"
+
+
+# A task of the node that failed ended the process at once, with all calls in progress.
+def test_request_is_not_lost_when_a_task_of_its_node_fails(platform: PlatformNode) -> None:
+    platform.publish(make_config(1, make_route("/unsafe/", "unsafe")))
+    node = platform.start("tests.failing_node")
+    platform.wait_ready()
+    assert platform.check_in().status == 200
+    answer = platform.send_request("/unsafe/?work_s=1", "POST", body=b"x", name="long")
+    assert answer.status == 200
+    assert node.wait() == EXIT_TASK_FAILED
+    failures = [line for line in node.log_lines() if line["message"] == "task failed"]
+    assert [line["task"] for line in failures] == ["fail_beside_a_call"]
