Leave calls of callers to the time limit of their own task

What callers saw: a connection that ends without an answer, of a request that an instance was running, at a node that is not disturbed; at any time, without a stop. Cause: the watch cancels calls that are past their deadline for more than 0.2 s, since the node that sent them should have cancelled them. It did so for calls of its own callers too, which end by a time limit in their own task. When the event loop is late by more than that, the watch may run before the task does; its cancellation then replaces the pending time-out, and takes the connection of the caller with it. Two mechanisms ended the same call, and the wrong one could be first. Change: the watch cancels overdue calls of other nodes only.

--- a/src/pollenbay/watch.py
+++ b/src/pollenbay/watch.py
@@ -243,9 +243,11 @@
                     await watched.task.cancel(blocking=False)
 
     async def _cancel_overdue(self, now: float) -> None:
+        # A call of a caller ends by the time limit of its own task, however late; to cancel it here
+        # would end the caller's connection without an answer.
         for watched in self.calls:
             ends_at = watched.progress.sender_deadline
-            if ends_at is not None and now > ends_at + OVERDUE_S:
+            if watched.link is not None and ends_at is not None and now > ends_at + OVERDUE_S:
                 watched.progress.sender_deadline = None
                 self._cancelled += 1
                 await watched.task.cancel(blocking=False)
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -6,6 +6,7 @@
 from curio.socket import socketpair
 
 from pollenbay.call import CallProgress
+from pollenbay.link import Link
 from pollenbay.timer import Timer, make_timer
 from pollenbay.watch import (
     OVERDUE_S,
@@ -44,13 +45,19 @@
     return cancelled
 
 
-async def ended_within(watch: Watch, ends_at: float | None, wait_s: float) -> bool:
-    """Return whether a call that its caller cannot cancel is ended within `wait_s`."""
+async def ended_within(
+    watch: Watch, ends_at: float | None, wait_s: float, from_node: bool = True
+) -> bool:
+    """Return whether a call that its caller cannot cancel is ended within `wait_s`.
+
+    :param from_node: whether another node awaits the call, or else a caller of this one.
+    """
     near, far = socketpair()
     task = await spawn(sleep_long)
     progress = CallProgress(cancellable=False, sent=True, sender_deadline=ends_at)
+    link = Link(near) if from_node else None
     async with near, far:
-        with watch.watching(WatchedCall(near, task, progress)):
+        with watch.watching(WatchedCall(near, task, progress, link)):
             await sleep(wait_s)
             return await was_cancelled(task)
 
@@ -77,6 +84,14 @@
 
         run(run_with_watch, scenario)
 
+    # A node whose event loop was late closed connections of callers without an answer.
+    def test_call_of_a_caller_is_left_to_its_own_time_limit(self) -> None:
+        async def scenario(watch: Watch, timer: Timer) -> None:
+            wait_s = OVERDUE_S + WATCH_MARGIN_S
+            assert not await ended_within(watch, timer.now(), wait_s, from_node=False)
+
+        run(run_with_watch, scenario)
+
 
 class TestIdle:
     """Connections without a request in progress."""
