Refuse the calls that wait at a stopping node once it rejects new work

Cause: `drain` rejected new work after `leave_s`, but calls that already waited for a slot stayed queued. They began until the end of the stop, which cut them, or waited all of it to be refused then.

Why it works: when the node begins to reject new work, `clear_queue` rejects all waiters as not run, with the short retry time that a stopping node gives. DRAINING is retriable, so the entry sends them to another instance. Such a refusal says nothing about the capacity of the target, so that it doesn't count towards its saturation.

--- a/src/pollenbay/commands/admission.py
+++ b/src/pollenbay/commands/admission.py
@@ -1,4 +1,4 @@
-"""Admission decisions at the gate of a target: admit, queue or reject; release; expire.
+"""Admission decisions at the gate of a target: admit, queue or reject; release; expire; clear.
 
 Functions return the waiters that they granted or rejected; the caller sets the events of these.
 """
@@ -15,6 +15,9 @@
 #: Maximum queueing delay of a call that is not critical while its priority queue is persistently
 #: non-empty; it may wait longer only if its expected run time is longer.
 STANDING_QUEUE_WAIT_MAX_S = 0.15
+#: Time after which a call that a stopping node refused may be retried: short, because another node
+#: accepts calls immediately.
+DRAINING_RETRY_S = 0.05
 
 
 def admit(gate: Gate, arrival: Arrival, now: float) -> Ticket | Waiter | Refusal:
@@ -92,6 +95,18 @@
     return settled + _grant_free_slots(gate, now)
 
 
+def clear_queue(gate: Gate) -> list[Waiter]:
+    """Reject all waiters because the node is stopping, and return them.
+
+    Another node can start them at once; here they might be cut short by the end of the stop.
+    """
+    waiters = list(gate.queue)
+    for waiter in waiters:
+        gate.queue.remove(waiter)
+        _reject_waiter(gate, waiter, Reason.DRAINING)
+    return waiters
+
+
 def set_slots(gate: Gate, slots: int) -> None:
     """Apply a new number of announced slots; added slots are filled by the next `expire`."""
     gate.limit.set_slots(slots)
@@ -200,4 +215,6 @@
 
 
 def _make_refusal(gate: Gate, arrival: Arrival, reason: Reason) -> Refusal:
+    if reason is Reason.DRAINING:
+        return Refusal(reason, DRAINING_RETRY_S)
     return Refusal(reason, gate.shedding.retry_after_s(arrival.call_class.rank))
--- a/src/pollenbay/commands/lifecycle.py
+++ b/src/pollenbay/commands/lifecycle.py
@@ -5,9 +5,11 @@
 
 from curio import TaskTimeout, sleep, spawn, timeout_after
 
+from pollenbay.commands.admission import clear_queue
 from pollenbay.commands.claim import drain_ledger
 from pollenbay.commands.dispatch import execute
 from pollenbay.commands.gossiping import announce_leaving, withdraw
+from pollenbay.commands.serving import wake
 from pollenbay.decisions import Decision, fields_of_call
 from pollenbay.node import Node
 from pollenbay.states import NodeState
@@ -58,11 +60,11 @@
     """Stop accepting calls, wait for those in flight and return whether all of them have ended.
 
     Calls that arrive while the announcement spreads are served; after `leave_s` they are refused
-    as not run, except calls of the local target whose deadline is within the stop. The node's row
-    is removed from the table concurrently, since an unresponsive table must not delay the stop.
-    Once no call is in progress or the time is over, all calls are refused. Calls that outlast the
-    stop are cancelled, so that their callers get an outcome. Responses of claimed calls are written
-    before the process ends.
+    as not run, except calls of the local target whose deadline is within the stop. So are calls
+    that still wait for a slot then. The node's row is removed from the table concurrently, since an
+    unresponsive table must not delay the stop. Once no call is in progress or the time is over, all
+    calls are refused. Calls that outlast the stop are cancelled, so that their callers get an
+    outcome. Responses of claimed calls are written before the process ends.
     """
     node.stopping_since = node.timer.now()
     node.stops_at = node.stopping_since + node.settings.leave_s + node.settings.drain_s
@@ -71,6 +73,7 @@
     withdrawal = await spawn(withdraw, node.membership)
     await sleep(node.settings.leave_s)
     node.rejects_new_work = True
+    await wake(clear_queue(node.gate))
     try:
         await timeout_after(node.stops_at - node.timer.now(), _stop_when_idle, node)
         finished = True
--- a/src/pollenbay/commands/serving.py
+++ b/src/pollenbay/commands/serving.py
@@ -82,7 +82,8 @@
         return NotRun(reason, RETRY_AFTER_S, allowance)
     result = await _acquire_ticket(node, call)
     if isinstance(result, Refusal):
-        node.saturation.record_refusal()
+        if result.reason is not Reason.DRAINING:
+            node.saturation.record_refusal()
         return NotRun(result.reason, result.retry_after_s, allowance)
     return await _serve_admitted(node, call, allowance, progress, result)
 
--- a/src/pollenbay/commands/stopping.py
+++ b/src/pollenbay/commands/stopping.py
@@ -1,15 +1,13 @@
 """Refusal of calls that enter at a node while it stops."""
 
 from pollenbay.call import Call, EntryPoint
+from pollenbay.commands.admission import DRAINING_RETRY_S
 from pollenbay.decisions import Decision, fields_of_call
 from pollenbay.node import Node
 from pollenbay.outcome import NotRun
 from pollenbay.queries.stopping import accepts_entry
 from pollenbay.states import Reason
 
-#: Short, because another node accepts calls immediately.
-DRAINING_RETRY_S = 0.05
-
 
 def refuse_while_stopping(node: Node, call: Call, entry_point: EntryPoint) -> NotRun | None:
     """Return the refusal of a call that the node no longer accepts, or None if it accepts it."""
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -2,9 +2,11 @@
 
 from pollenbay.admissionqueue import NEWEST_FIRST_AFTER_S
 from pollenbay.commands.admission import (
+    DRAINING_RETRY_S,
     STANDING_QUEUE_WAIT_MAX_S,
     abandon,
     admit,
+    clear_queue,
     expire,
     release,
     set_slots,
@@ -357,3 +359,16 @@
         queue_calls(gate, 3, CallClass.NORMAL)
         report = load(gate)
         assert (report.in_flight, report.limit, report.queued) == (2, 2, 3)
+
+
+class TestStop:
+    # Calls that waited at a stopping node began late in the stop and were cut by its end.
+    def test_waiting_calls_are_refused_as_draining_at_once(self) -> None:
+        gate = make_gate(1)
+        (ticket,) = fill_slots(gate)
+        waiters = queue_calls(gate, 2, CallClass.CRITICAL) + queue_calls(gate, 1, CallClass.NORMAL)
+        assert set(clear_queue(gate)) == set(waiters)
+        refusal = Refusal(Reason.DRAINING, DRAINING_RETRY_S)
+        assert [waiter.decision for waiter in waiters] == [refusal] * len(waiters)
+        assert (len(gate.queue), gate.in_flight) == (0, 1)
+        assert release(gate, ticket, 0.1, True, NOW) == []
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -4,7 +4,15 @@
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
 from pollenbay.admissionqueue import PRIORITIES_PER_CLASS
-from pollenbay.commands.admission import abandon, admit, expire, release, set_slots, start_cold
+from pollenbay.commands.admission import (
+    abandon,
+    admit,
+    clear_queue,
+    expire,
+    release,
+    set_slots,
+    start_cold,
+)
 from pollenbay.gate import QUEUE_PLACES_MAX, Arrival, Gate, Refusal, Ticket, Waiter, make_gate
 from pollenbay.ids import CallerId
 from pollenbay.queries.admission import can_meet_deadline, has_slot
@@ -112,6 +120,13 @@
             assert can_meet_deadline(self.gate, waiter.arrival, self.now)
         self.check_no_free_slot_while_queued()
 
+    @rule()
+    def clear_queue_in_a_stop(self) -> None:
+        waiters = clear_queue(self.gate)
+        assert set(waiters) == set(self.waiters)
+        self.apply_decisions(waiters)
+        assert not self.waiters
+
     @rule(slots=st.integers(min_value=0, max_value=8))
     def change_slots(self, slots: int) -> None:
         set_slots(self.gate, slots)
--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -21,6 +21,7 @@
 SERVICES = ("stock", "other", "third", "fourth", "fifth")
 #: Requests after which a node knows the class of a route.
 CLASSIFYING_REQUESTS = 20
+LONG_GRACE_S = 6.0
 
 
 @fixture
@@ -30,6 +31,15 @@
         yield PlatformNode(processes, tmp_path)
 
 
+@fixture
+def queueing_platform(tmp_path) -> Iterator[PlatformNode]:
+    """Yield the same with a longer grace period and an instance that runs one call at a time."""
+    with Processes(tmp_path) as processes:
+        platform = PlatformNode(processes, tmp_path, grace_s=LONG_GRACE_S)
+        platform.capacity = 1
+        yield platform
+
+
 class StopClients:
     """Clients that send requests to a node, one after the other, until its process is gone."""
 
@@ -182,3 +192,37 @@
     assert (cut["request"], cut["stage"], cut["from_node"]) == ("long", "begun", False)
     assert cut["begun_s_ago"] >= cut["stopping_since_s"] > 0.0
     assert lines["stop requested"]["signal"] == "SIGTERM"
+
+
+# A call that waited at a stopping node began late in the stop and was cut by its end.
+def test_request_that_waits_at_a_stopping_node_is_answered_or_not_run(
+    queueing_platform: PlatformNode,
+) -> None:
+    platform = queueing_platform
+    entry = platform.add_node("other")
+    node = platform.serve(make_route("/unsafe/", "unsafe", timeout_ms=30_000, priority=0))
+    entry_process = entry.start()
+
+    def is_answered() -> bool:
+        return entry.send_request("/unsafe/", "POST", body=b"x").status == 200
+
+    wait_until(is_answered, STARTED_WITHIN_S, "the entry to serve")
+    work_s = {"first": 3.6, "second": 1.6, "third": 1.6}
+    platform.check_in()
+    with ThreadPoolExecutor(len(work_s)) as pool:
+        answers = {}
+        for name, seconds in work_s.items():
+            target = f"/unsafe/?work_s={seconds}"
+            answers[name] = pool.submit(
+                entry.send_request, target, "POST", body=b"x", name=name, within_s=20.0
+            )
+            wait_until(lambda: platform.has_started("first"), STARTED_WITHIN_S, "the first to run")
+        sleep(0.3)
+        node.terminate()
+        sleep(1.5)
+        entry_process.terminate()
+        statuses = {name: answer.result().status for name, answer in answers.items()}
+    answered = {name for name, status in statuses.items() if status == 200}
+    assert "first" in answered
+    assert {name: status for name, status in statuses.items() if status not in (200, 503)} == {}
+    assert {run["name"] for run in platform.runs()} & set(work_s) == answered
