Start a call at a stopping node only if its end is within the stop

Callers saw: 502 for a request that may not be repeated and that began at an instance whose node was already stopping, though it was known that such requests run longer than what was left of the stop.

Cause: the gate compared only a call's deadline with its expected run time. A stop that ends before the deadline was not considered; neither was it once a call had its claim and its connection, which may take a second each.

Evidence, before this change: with real processes, a call known to take 4.6 s that got its slot 1.2 s after the SIGTERM (the stop ends at 5.3 s) was answered 502, `assert 502 == 503`. A call whose connection came with 2 s left of the stop was sent: `assert Answered(...) == NotRun(DRAINING, 0.05, 3)` with the check taken out.

Why it works: the gate knows when running calls will be cut. It admits an arrival or a waiter only if its deadline, or twice its expected run time, is within that; otherwise it is refused at once as not run, which other instances may take. The same is asked just before the call is sent. Twice, since run times vary around the mean; the price is that a call which would have ended in time by a little is sent elsewhere. A call whose run time isn't known starts by its deadline only. A queue that empties in time is still served for `leave_s`.

--- a/src/pollenbay/commands/admission.py
+++ b/src/pollenbay/commands/admission.py
@@ -7,7 +7,12 @@
 
 from pollenbay.admissionqueue import priority_of
 from pollenbay.gate import Arrival, Gate, Refusal, Ticket, Waiter
-from pollenbay.queries.admission import can_meet_deadline, expected_run_s, has_slot
+from pollenbay.queries.admission import (
+    can_end_before_cut,
+    can_meet_deadline,
+    expected_run_s,
+    has_slot,
+)
 from pollenbay.states import CallClass, Reason
 
 #: Maximum number of waiters checked, oldest first, for one whose caller exceeds its share.
@@ -29,6 +34,8 @@
     gate.shedding.record_arrival(rank, now)
     if not can_meet_deadline(gate, arrival, now):
         return _make_refusal(gate, arrival, Reason.DEADLINE)
+    if not can_end_before_cut(gate, arrival, now):
+        return _make_refusal(gate, arrival, Reason.DRAINING)
     if has_slot(gate) and not gate.queue:
         return _admit_now(gate, arrival, now)
     over_share = gate.shares.is_over_share(rank, arrival.caller, gate.limit.value)
@@ -83,18 +90,31 @@
 
 
 def expire(gate: Gate, now: float) -> list[Waiter]:
-    """Reject waiters that cannot meet their deadline or waited too long, and fill free slots.
+    """Reject waiters that can no longer start or waited too long, and fill free slots.
 
     Returns the waiters that were granted or rejected.
     """
     gate.shedding.end_period(now)
-    settled = [waiter for waiter in gate.queue if _should_drop(gate, waiter, now)]
-    for waiter in settled:
-        gate.queue.remove(waiter)
-        _reject_waiter(gate, waiter, Reason.QUEUE_TIMEOUT)
+    settled = []
+    for waiter in list(gate.queue):
+        reason = _drop_reason(gate, waiter, now)
+        if reason is not None:
+            gate.queue.remove(waiter)
+            _reject_waiter(gate, waiter, reason)
+            settled.append(waiter)
     return settled + _grant_free_slots(gate, now)
 
 
+def begin_stop(gate: Gate, cuts_at: float) -> None:
+    """From now on start only calls that are expected to end before the stop cuts them.
+
+    Waiters that can no longer start are rejected by the next `expire`.
+
+    :param cuts_at: monotonic seconds at which running calls are cut.
+    """
+    gate.set_cut(cuts_at)
+
+
 def clear_queue(gate: Gate) -> list[Waiter]:
     """Reject all waiters because the node is stopping, and return them.
 
@@ -118,11 +138,24 @@
     gate.run_times.discard()
 
 
-def _should_drop(gate: Gate, waiter: Waiter, now: float) -> bool:
+def _drop_reason(gate: Gate, waiter: Waiter, now: float) -> Reason | None:
     # A call that can no longer be served in time only occupies slots upstream.
-    arrival = waiter.arrival
+    reason = _start_refusal(gate, waiter.arrival, now)
+    if reason is None and _waited_too_long(gate, waiter, now):
+        return Reason.QUEUE_TIMEOUT
+    return reason
+
+
+def _start_refusal(gate: Gate, arrival: Arrival, now: float) -> Reason | None:
     if not can_meet_deadline(gate, arrival, now):
-        return True
+        return Reason.QUEUE_TIMEOUT
+    if not can_end_before_cut(gate, arrival, now):
+        return Reason.DRAINING
+    return None
+
+
+def _waited_too_long(gate: Gate, waiter: Waiter, now: float) -> bool:
+    arrival = waiter.arrival
     if arrival.call_class is CallClass.CRITICAL:
         return False
     if not gate.queue.queues[waiter.priority].serves_newest_first(now):
@@ -193,10 +226,11 @@
             waiter.priority += 1
             gate.queue.add(waiter, now)
             continue
-        if can_meet_deadline(gate, waiter.arrival, now):
+        reason = _start_refusal(gate, waiter.arrival, now)
+        if reason is None:
             waiter.decision = _issue_ticket(gate, waiter.arrival, now)
         else:
-            _reject_waiter(gate, waiter, Reason.QUEUE_TIMEOUT)
+            _reject_waiter(gate, waiter, reason)
         settled.append(waiter)
     return settled
 
--- a/src/pollenbay/commands/lifecycle.py
+++ b/src/pollenbay/commands/lifecycle.py
@@ -5,7 +5,7 @@
 
 from curio import TaskTimeout, sleep, spawn, timeout_after
 
-from pollenbay.commands.admission import clear_queue
+from pollenbay.commands.admission import begin_stop, clear_queue
 from pollenbay.commands.claim import drain_ledger
 from pollenbay.commands.dispatch import execute
 from pollenbay.commands.gossiping import announce_leaving, withdraw
@@ -59,15 +59,17 @@
 async def drain(node: Node) -> bool:
     """Stop accepting calls, wait for those in flight and return whether all of them have ended.
 
-    Calls that arrive while the announcement spreads are served; after `leave_s` they are refused
-    as not run, except calls of the local target whose deadline is within the stop. So are calls
-    that still wait for a slot then. The node's row is removed from the table concurrently, since an
-    unresponsive table must not delay the stop. Once no call is in progress or the time is over, all
-    calls are refused. Calls that outlast the stop are cancelled, so that their callers get an
-    outcome. Responses of claimed calls are written before the process ends.
+    Calls that arrive while the announcement spreads are served if they are expected to end within
+    the stop; after `leave_s` they are refused as not run, except calls of the local target whose
+    deadline is within the stop. So are calls that still wait for a slot then. The node's row is
+    removed from the table concurrently, since an unresponsive table must not delay the stop. Once
+    no call is in progress or the time is over, all calls are refused. Calls that outlast the stop
+    are cancelled, so that their callers get an outcome. Responses of claimed calls are written
+    before the process ends.
     """
     node.stopping_since = node.timer.now()
     node.stops_at = node.stopping_since + node.settings.leave_s + node.settings.drain_s
+    begin_stop(node.gate, node.stops_at)
     change_state(node, NodeState.DRAINING)
     announce_leaving(node.membership)
     withdrawal = await spawn(withdraw, node.membership)
--- a/src/pollenbay/commands/serving.py
+++ b/src/pollenbay/commands/serving.py
@@ -8,7 +8,7 @@
 from pollenbay.account import make_retry_account
 from pollenbay.call import Call, CallProgress
 from pollenbay.claim import Claim, ClaimRequest, fingerprint_of
-from pollenbay.commands.admission import abandon, admit, release
+from pollenbay.commands.admission import DRAINING_RETRY_S, abandon, admit, release
 from pollenbay.commands.claim import abandon_claim, acquire_claim, record_response, release_claim
 from pollenbay.contexts import Context
 from pollenbay.decisions import Decision, fields_of_call, fields_of_outcome
@@ -19,6 +19,7 @@
 from pollenbay.metrics import Metrics
 from pollenbay.node import Node
 from pollenbay.outcome import Answered, NotRun, Outcome, Unknown, is_successful
+from pollenbay.queries.admission import can_end_before_cut
 from pollenbay.states import NodeState, Reason, TargetState
 from pollenbay.target import TargetConnectError, TargetResponseError
 
@@ -102,8 +103,7 @@
 
 async def _acquire_ticket(node: Node, call: Call) -> Ticket | Refusal:
     now = node.timer.now()
-    arrival = Arrival(call.call_class, call.caller, call.deadline, now, name=call.name)
-    result = admit(node.gate, arrival, now)
+    result = admit(node.gate, _arrival_of(call, now), now)
     if not isinstance(result, Waiter):
         return result
     if result.displaced is not None:
@@ -120,6 +120,10 @@
     return result.decision
 
 
+def _arrival_of(call: Call, now: float) -> Arrival:
+    return Arrival(call.call_class, call.caller, call.deadline, now, name=call.name)
+
+
 async def wake(waiters: list[Waiter]) -> None:
     """Wake the tasks of waiters that were granted or refused a slot."""
     for waiter in waiters:
@@ -185,11 +189,22 @@
     await release_claim(ledger, claim)
 
 
+def _may_begin(node: Node, call: Call) -> bool:
+    # A stop may have begun, or gone on, while the call waited for its claim and its connection.
+    if not node.is_stopping:
+        return True
+    now = node.timer.now()
+    return can_end_before_cut(node.gate, _arrival_of(call, now), now)
+
+
 async def _send(node: Node, call: Call, allowance: int, progress: CallProgress) -> Outcome:
     try:
         client = await node.target.connect(node.timer.now(), call.idempotent)
     except TargetConnectError as error:
         return NotRun(error.reason, RETRY_AFTER_S, allowance)
+    if not _may_begin(node, call):
+        await node.target.keep(client, node.timer.now())
+        return NotRun(Reason.DRAINING, DRAINING_RETRY_S, allowance)
     if node.target.propagates_context:
         return await _send_with_context(node, call, allowance, progress, client)
     return await _exchange(node, call, progress, client, NO_CONTEXT)
--- a/src/pollenbay/gate.py
+++ b/src/pollenbay/gate.py
@@ -3,6 +3,8 @@
 `pollenbay.commands.admission` changes it and `pollenbay.queries.admission` reads it.
 """
 
+from math import inf
+
 from pollenbay.admissionqueue import AdmissionQueue, make_admission_queue
 from pollenbay.arrival import Arrival, Refusal, Ticket, Waiter
 from pollenbay.ids import CallName
@@ -29,6 +31,7 @@
         self._shedding = make_shedding()
         self._run_times = make_run_times()
         self._in_flight = 0
+        self._cuts_at = inf
 
     @property
     def limit(self) -> Limit:
@@ -60,6 +63,11 @@
         """Return the number of calls that hold a ticket."""
         return self._in_flight
 
+    @property
+    def cuts_at(self) -> float:
+        """Return the monotonic seconds at which running calls are cut; infinite before a stop."""
+        return self._cuts_at
+
     @property
     def queue_capacity(self) -> int:
         """Return the maximum number of calls that may be queued now."""
@@ -72,6 +80,10 @@
         self._in_flight += 1
         self._run_times.begin(name)
 
+    def set_cut(self, cuts_at: float) -> None:
+        """Set the monotonic seconds at which running calls are cut."""
+        self._cuts_at = cuts_at
+
     def end_call(self, name: CallName) -> None:
         """Count a call that has ended."""
         self._in_flight -= 1
--- a/src/pollenbay/queries/admission.py
+++ b/src/pollenbay/queries/admission.py
@@ -5,6 +5,9 @@
 
 #: Maximum age of a latency that may reject a call; past it one call is admitted to measure again.
 LATENCY_VALID_S = 1.0
+#: Ratio of the time until running calls are cut to the expected run time of a call that may still
+#: start: run times vary around the mean.
+CUT_MARGIN_RATIO = 2.0
 
 
 def load(gate: Gate) -> TargetLoad:
@@ -47,3 +50,14 @@
     if run_time.failed and not run_time.running:
         return True
     return now - run_time.sampled_at > LATENCY_VALID_S
+
+
+def can_end_before_cut(gate: Gate, arrival: Arrival, now: float) -> bool:
+    """Return whether a call that starts now is expected to end before a stop cuts running calls.
+
+    If its run time is not known, only its deadline can show that.
+    """
+    if arrival.deadline <= gate.cuts_at:
+        return True
+    expected_s = expected_run_s(gate, arrival)
+    return 0.0 < expected_s and now + CUT_MARGIN_RATIO * expected_s <= gate.cuts_at
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -6,6 +6,7 @@
     STANDING_QUEUE_WAIT_MAX_S,
     abandon,
     admit,
+    begin_stop,
     clear_queue,
     expire,
     release,
@@ -23,7 +24,7 @@
     make_gate,
 )
 from pollenbay.ids import CallerId, CallName
-from pollenbay.queries.admission import LATENCY_VALID_S, load
+from pollenbay.queries.admission import CUT_MARGIN_RATIO, LATENCY_VALID_S, load
 from pollenbay.states import CallClass, Reason
 
 NOW = 50.0
@@ -372,3 +373,37 @@
         assert [waiter.decision for waiter in waiters] == [refusal] * len(waiters)
         assert (len(gate.queue), gate.in_flight) == (0, 1)
         assert release(gate, ticket, 0.1, True, NOW) == []
+
+    def test_call_whose_end_is_not_in_sight_is_refused_and_others_are_served(self) -> None:
+        gate = make_gate(8)
+        begin_stop(gate, NOW + 3.0)
+        unknown = admit(gate, make_arrival(wait_s=10.0), NOW)
+        long = admit(gate, make_arrival(wait_s=10.0, expected_s=3.1 / CUT_MARGIN_RATIO), NOW)
+        for refusal in (unknown, long):
+            assert refusal == Refusal(Reason.DRAINING, DRAINING_RETRY_S)
+        short = admit(gate, make_arrival(wait_s=10.0, expected_s=2.9 / CUT_MARGIN_RATIO), NOW)
+        due = admit(gate, make_arrival(wait_s=3.0), NOW)
+        assert isinstance(short, Ticket) and isinstance(due, Ticket)
+
+    def test_waiting_call_starts_if_it_can_still_end_and_is_refused_otherwise(self) -> None:
+        gate = make_gate(1)
+        (ticket,) = fill_slots(gate)
+        short, long = (
+            admit(gate, make_arrival(CallClass.CRITICAL, wait_s=wait_s, expected_s=expected_s), NOW)
+            for wait_s, expected_s in ((20.0, 0.2), (10.0, 1.0))
+        )
+        assert isinstance(short, Waiter) and isinstance(long, Waiter)
+        begin_stop(gate, NOW + 3.0)
+        assert expire(gate, NOW) == []
+        assert release(gate, ticket, 2.0, True, NOW + 2.0) == [long, short]
+        assert long.decision == Refusal(Reason.DRAINING, DRAINING_RETRY_S)
+        assert isinstance(short.decision, Ticket)
+
+    def test_waiting_call_that_can_no_longer_end_is_refused_before_its_turn(self) -> None:
+        gate = make_gate(1)
+        fill_slots(gate)
+        waiter = admit(gate, make_arrival(CallClass.CRITICAL, expected_s=1.0), NOW)
+        begin_stop(gate, NOW + 3.0)
+        assert expire(gate, NOW + 0.9) == []
+        assert expire(gate, NOW + 1.1) == [waiter]
+        assert waiter.decision == Refusal(Reason.DRAINING, DRAINING_RETRY_S)
--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -1,12 +1,12 @@
 """Planned stops on the users' platform: whatever a stopping node passes on is answered."""
 
 from collections.abc import Iterator
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor
 from contextlib import suppress
 from http.client import HTTPException
 from time import sleep
 
-from harness import Process, Processes, wait_until
+from harness import Process, Processes, Response, wait_until
 from platform_node import PlatformNode, make_route
 from pytest import fixture, mark
 
@@ -22,6 +22,8 @@
 #: Requests after which a node knows the class of a route.
 CLASSIFYING_REQUESTS = 20
 LONG_GRACE_S = 6.0
+#: More than is left of a stop with that grace period when new work is rejected.
+OUTLASTING_WORK_S = 4.6
 
 
 @fixture
@@ -226,3 +228,29 @@
     assert "first" in answered
     assert {name: status for name, status in statuses.items() if status not in (200, 503)} == {}
     assert {run["name"] for run in platform.runs()} & set(work_s) == answered
+
+
+# A call that began in the first part of a stop outlasted it, though its run time was known.
+def test_request_that_would_outlast_a_planned_stop_does_not_begin(
+    queueing_platform: PlatformNode,
+) -> None:
+    platform = queueing_platform
+    short = make_route("/unsafe/", "unsafe", timeout_ms=30_000, priority=0)
+    long = make_route("/long/", "unsafe", timeout_ms=30_000, priority=0)
+    node = platform.serve(short, long)
+    assert platform.send_request(f"/long/?work_s={OUTLASTING_WORK_S}", "POST").status == 200
+    platform.check_in()
+    with ThreadPoolExecutor(3) as pool:
+
+        def submit(name: str, path: str, work_s: float) -> Future[Response]:
+            target = f"{path}?work_s={work_s}"
+            return pool.submit(platform.send_request, target, "POST", name=name, within_s=20.0)
+
+        first = submit("first", "/unsafe/", 1.5)
+        wait_until(lambda: platform.has_started("first"), STARTED_WITHIN_S, "the first to run")
+        outlasting = submit("outlasting", "/long/", OUTLASTING_WORK_S)
+        sleep(0.3)
+        node.terminate()
+        assert outlasting.result().status == 503
+        assert first.result().status == 200
+    assert not platform.has_started("outlasting")
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -1,18 +1,23 @@
 """Which calls a node accepts before and during a planned stop."""
 
 from math import inf
+from typing import Any
 
 from admin_node import make_admin_node
+from curio import run
 from prometheus_client import generate_latest
 from pytest import LogCaptureFixture, mark
 
-from pollenbay.call import Call, EntryPoint
+from pollenbay.call import Call, CallProgress, EntryPoint
+from pollenbay.commands.admission import DRAINING_RETRY_S, begin_stop
+from pollenbay.commands.serving import serve
 from pollenbay.commands.stopping import refuse_while_stopping
 from pollenbay.decisions import Decision
-from pollenbay.ids import CallerId, CallName, RequestId, ServiceName
+from pollenbay.ids import CallerId, CallName, RequestId, ServiceName, TargetId
 from pollenbay.node import Node
+from pollenbay.outcome import Answered, NotRun, Outcome
 from pollenbay.queries.stopping import accepts_entry, entry_point_of
-from pollenbay.states import CallClass, NodeState, Reason
+from pollenbay.states import CallClass, NodeState, Reason, TargetState
 
 STOPS_AT = 10.0
 ROUTE = CallName("peek")
@@ -94,3 +99,69 @@
     assert refusal is not None and refusal.reason is Reason.DRAINING
     assert [each.message for each in caplog.records] == [Decision.STOPPING.value]
     assert b'reason="draining"' in generate_latest(node.metrics.registry)
+
+
+class SteppedTimer:
+    """Timer of a node whose time the test sets."""
+
+    def __init__(self) -> None:
+        self.time = 0.0
+
+    def now(self) -> float:
+        return self.time
+
+
+class SlowTarget:
+    """Target to which it takes some time to connect, and during which a stop may begin.
+
+    :param stops_at: end of the stop that begins meanwhile.
+    """
+
+    state = TargetState.SERVING
+    name = TargetId("t")
+    last_seen_at = 0.0
+    propagates_context = False
+
+    def __init__(self, node: Node, timer: SteppedTimer, connect_s: float, stops_at: float) -> None:
+        self._node = node
+        self._timer = timer
+        self._connect_s = connect_s
+        self._stops_at = stops_at
+        self.runs = 0
+        self.kept: list[object] = []
+
+    async def connect(self, now: float, idempotent: bool) -> object:
+        self._timer.time += self._connect_s
+        self._node.state = NodeState.DRAINING
+        begin_stop(self._node.gate, self._stops_at)
+        return "connection"
+
+    async def keep(self, client: object, now: float) -> None:
+        self.kept.append(client)
+
+    async def run(self, *arguments: object) -> Outcome:
+        self.runs += 1
+        return Answered(200, [], b"")
+
+
+def serve_slowly(connect_s: float, stops_at: float, deadline: float) -> tuple[Outcome, SlowTarget]:
+    """Serve a call on a target to which it takes some time to connect."""
+    node: Any = make_admin_node()
+    timer = SteppedTimer()
+    target = SlowTarget(node, timer, connect_s, stops_at)
+    node.timer, node.target = timer, target
+    call = make_call(deadline)
+    call.service = node.settings.service
+    return run(serve, node, call, 3, CallProgress()), target
+
+
+# A call that got its claim or its connection late in a stop began then and was cut.
+def test_call_whose_connection_comes_late_in_a_stop_is_not_run() -> None:
+    outcome, target = serve_slowly(connect_s=2.0, stops_at=4.0, deadline=5.0)
+    assert outcome == NotRun(Reason.DRAINING, DRAINING_RETRY_S, 3)
+    assert (target.runs, target.kept) == (0, ["connection"])
+
+
+def test_call_whose_deadline_is_within_the_stop_begins() -> None:
+    outcome, target = serve_slowly(connect_s=2.0, stops_at=4.0, deadline=3.0)
+    assert (outcome, target.runs) == (Answered(200, [], b""), 1)
