Pass a call on from a stopping node with no more time than its stop has

Callers saw: 502 for a request that may not be repeated and that ran, sent just after the SIGTERM of the node that took it.

Cause: until `leave_s` a stopping entry takes requests and passes them on with their whole deadline. A target's node lets them wait and begin as if the answer could still be delivered; the end of the entry's stop cuts them. The same holds for a retry, and for a nested call, that is sent while the node stops.

Evidence: real processes, grace 6 s, an instance that serves one call at a time and is busy for 3.2 s; the entry gets SIGTERM and 0.3 s later a request of 3.2 s. Before: `assert 502 == 503`. After: 503, and the instance never got it.

Why it works: the time that a call message carries, and the time that a retry needs, are counted to the deadline or the end of the stop, whichever is earlier. The target's node then refuses what it doesn't expect to end by then.

Why it is right: nobody can receive an answer after the end of the stop, so that nothing is lost by the shorter time: `abort_calls` cut these calls at the same moment. A call under a claim keeps its deadline: its response is recorded after the entry has gone, and a shorter deadline could record the target's 504 in its place. Where the run time of a call isn't known, or the last sample is over a second old, it still begins, and ends at the end of the stop as before.

--- a/src/pollenbay/commands/calling.py
+++ b/src/pollenbay/commands/calling.py
@@ -41,6 +41,7 @@
 from pollenbay.queries.routing import may_have_room
 from pollenbay.queries.rules import find_call
 from pollenbay.queries.saturation import fails_on_its_own
+from pollenbay.queries.stopping import due_at
 from pollenbay.score import AttemptResult
 from pollenbay.states import Reason
 from pollenbay.view import Member
@@ -140,7 +141,7 @@
 
 
 def _has_time(node: Node, call: Call) -> bool:
-    return call.deadline - node.timer.now() > RETURN_MARGIN_S
+    return due_at(node, call) - node.timer.now() > RETURN_MARGIN_S
 
 
 def _backoff_s(node: Node, retries: int) -> float:
@@ -266,7 +267,7 @@
 
 
 def _link_time_s(node: Node, call: Call) -> float:
-    return max(call.deadline - node.timer.now() - RETURN_MARGIN_S, 0.0)
+    return max(due_at(node, call) - node.timer.now() - RETURN_MARGIN_S, 0.0)
 
 
 async def _exchange(node: Node, call: Call, link: Link, message: CallMessage) -> ReplyMessage:
--- a/src/pollenbay/queries/stopping.py
+++ b/src/pollenbay/queries/stopping.py
@@ -1,6 +1,6 @@
-"""Whether a node accepts a call that enters at it, also while it stops."""
+"""Whether a node accepts a call that enters at it, and until when it can answer, while it stops."""
 
-from pollenbay.call import EntryPoint
+from pollenbay.call import Call, EntryPoint
 from pollenbay.ids import CallName
 from pollenbay.node import Node
 from pollenbay.states import NodeState
@@ -22,6 +22,15 @@
     return entry_point is EntryPoint.TARGET and deadline <= node.stops_at
 
 
+def due_at(node: Node, call: Call) -> float:
+    """Return the monotonic seconds by which the response of a call is due at this node.
+
+    That is its deadline, or the end of this node's stop if that is earlier. A call under a claim
+    keeps its deadline: its response is recorded, and a repeat elsewhere gets it.
+    """
+    return call.deadline if call.requires_claim else min(call.deadline, node.stops_at)
+
+
 def entry_point_of(node: Node, route: CallName) -> EntryPoint:
     """Return where a request on a route probably entered.
 
--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -24,6 +24,8 @@
 LONG_GRACE_S = 6.0
 #: More than is left of a stop with that grace period when new work is rejected.
 OUTLASTING_WORK_S = 4.6
+#: So long that two such requests, one after the other, outlast a stop with that grace period.
+HALF_STOP_WORK_S = 3.2
 
 
 @fixture
@@ -254,3 +256,32 @@
         assert outlasting.result().status == 503
         assert first.result().status == 200
     assert not platform.has_started("outlasting")
+
+
+# An entry that was stopping passed a request on with more time than it had left, and cut it.
+def test_request_that_begins_too_late_for_its_stopping_entry_is_not_run(
+    queueing_platform: PlatformNode,
+) -> None:
+    platform = queueing_platform
+    entry = platform.add_node("other")
+    short = make_route("/unsafe/", "unsafe", timeout_ms=30_000, priority=0)
+    long = make_route("/long/", "unsafe", timeout_ms=30_000, priority=0)
+    platform.serve(short, long)
+    entry_process = entry.start()
+
+    def is_answered() -> bool:
+        return entry.send_request("/unsafe/", "POST", body=b"x").status == 200
+
+    wait_until(is_answered, STARTED_WITHIN_S, "the entry to serve")
+    target = f"/long/?work_s={HALF_STOP_WORK_S}"
+    assert platform.send_request(target, "POST").status == 200
+    platform.check_in()
+    with ThreadPoolExecutor(2) as pool:
+        first = pool.submit(platform.send_request, target, "POST", name="first", within_s=20.0)
+        wait_until(lambda: platform.has_started("first"), STARTED_WITHIN_S, "the first to run")
+        entry_process.terminate()
+        sleep(0.3)
+        late = pool.submit(entry.send_request, target, "POST", name="late", within_s=20.0)
+        assert late.result().status == 503
+        assert first.result().status == 200
+    assert not platform.has_started("late")
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -13,10 +13,10 @@
 from pollenbay.commands.serving import serve
 from pollenbay.commands.stopping import refuse_while_stopping
 from pollenbay.decisions import Decision
-from pollenbay.ids import CallerId, CallName, RequestId, ServiceName, TargetId
+from pollenbay.ids import CallerId, CallName, IdempotencyKey, RequestId, ServiceName, TargetId
 from pollenbay.node import Node
 from pollenbay.outcome import Answered, NotRun, Outcome
-from pollenbay.queries.stopping import accepts_entry, entry_point_of
+from pollenbay.queries.stopping import accepts_entry, due_at, entry_point_of
 from pollenbay.states import CallClass, NodeState, Reason, TargetState
 
 STOPS_AT = 10.0
@@ -165,3 +165,15 @@
 def test_call_whose_deadline_is_within_the_stop_begins() -> None:
     outcome, target = serve_slowly(connect_s=2.0, stops_at=4.0, deadline=3.0)
     assert (outcome, target.runs) == (Answered(200, [], b""), 1)
+
+
+@mark.parametrize("deadline, due", [(STOPS_AT - 1.0, STOPS_AT - 1.0), (STOPS_AT + 1.0, STOPS_AT)])
+def test_response_is_due_by_the_end_of_the_stop(deadline: float, due: float) -> None:
+    assert due_at(make_stopping_node(), make_call(deadline)) == due
+    assert due_at(make_admin_node(), make_call(deadline)) == deadline
+
+
+def test_claimed_call_keeps_its_deadline_in_a_stop() -> None:
+    call = make_call(STOPS_AT + 1.0)
+    call.idempotent, call.idempotency_key = False, IdempotencyKey("k")
+    assert due_at(make_stopping_node(), call) == STOPS_AT + 1.0
