Test that a call refused while it waits is answered by another instance

Real processes: a call waits for the one slot of an instance whose node gets SIGTERM, while a second instance of the service becomes free. Now it is answered there with 200, and the first one never gets it.

--- a/tests/platform_node.py
+++ b/tests/platform_node.py
@@ -119,12 +119,12 @@
         """Wait until the node is ready."""
         wait_until(lambda: self.readiness_status() == 200, READY_WITHIN_S, "the node to be ready")
 
-    def add_node(self, service: str) -> "PlatformNode":
-        """Return a second node, of another service, at the same store; it has not been started."""
+    def add_node(self, service: str, number: int = 2) -> "PlatformNode":
+        """Return a further node, of any service, at the same store; it has not been started."""
         return PlatformNode(
             self._processes,
             self._folder,
-            number=2,
+            number=number,
             service=service,
             store=self.store,
             grace_s=self._grace_s,
--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -7,7 +7,7 @@
 from time import sleep
 
 from harness import Process, Processes, Response, wait_until
-from platform_node import PlatformNode, make_route
+from platform_node import SERVICE, PlatformNode, make_route
 from pytest import fixture, mark
 
 pytestmark = mark.alone
@@ -285,3 +285,36 @@
         assert late.result().status == 503
         assert first.result().status == 200
     assert not platform.has_started("late")
+
+
+# A call that waited at a stopping node stayed there, though another instance was free.
+def test_request_that_waits_at_a_stopping_node_is_answered_by_another_instance(
+    queueing_platform: PlatformNode,
+) -> None:
+    platform = queueing_platform
+    entry, free = platform.add_node("other"), platform.add_node(SERVICE, number=3)
+    node = platform.serve(make_route("/unsafe/", "unsafe", timeout_ms=30_000, priority=0))
+    entry.start()
+    free.start()
+    free.wait_ready()
+
+    def is_answered() -> bool:
+        return entry.send_request("/unsafe/", "POST", body=b"x").status == 200
+
+    wait_until(is_answered, STARTED_WITHIN_S, "the entry to serve")
+    platform.check_in()
+    with ThreadPoolExecutor(2) as pool:
+
+        def submit(name: str, work_s: float) -> Future[Response]:
+            target = f"/unsafe/?work_s={work_s}"
+            return pool.submit(entry.send_request, target, "POST", name=name, within_s=20.0)
+
+        first = submit("first", 4.0)
+        wait_until(lambda: platform.has_started("first"), STARTED_WITHIN_S, "the first to run")
+        waiting = submit("waiting", 0.1)
+        sleep(0.3)
+        assert free.check_in().status == 200
+        node.terminate()
+        assert (waiting.result().status, first.result().status) == (200, 200)
+    assert free.has_started("waiting")
+    assert not platform.has_started("waiting")
