Begin no call at a node that has cancelled those in progress

Callers saw: nothing yet; found by looking for the same cause elsewhere. A call under a claim runs in a task of its own, which an interrupt (SIGINT) doesn't cancel while it waits for the claim. Its caller was told `unknown`; the call was sent in the last 0.2 s of the process and cut, and its claim stayed, so that a repeat is told `unknown` too.

Evidence, before: the call was sent, `assert Answered(200, ...) == NotRun(DRAINING, 0.05, 3)` in tests/test_stopping.py.

Why it works: a stopped node sends nothing to its target; the claim is released and a repeat can run. At the end of a planned stop this holds by the time left.

--- a/src/pollenbay/commands/serving.py
+++ b/src/pollenbay/commands/serving.py
@@ -193,6 +193,8 @@
     # A stop may have begun, or gone on, while the call waited for its claim and its connection.
     if not node.is_stopping:
         return True
+    if node.state is NodeState.STOPPED:
+        return False
     now = node.timer.now()
     return can_end_before_cut(node.gate, _arrival_of(call, now), now)
 
--- a/tests/test_stopping.py
+++ b/tests/test_stopping.py
@@ -115,6 +115,7 @@
     """Target to which it takes some time to connect, and during which a stop may begin.
 
     :param stops_at: end of the stop that begins meanwhile.
+    :param node_state: state of the node after that.
     """
 
     state = TargetState.SERVING
@@ -122,17 +123,25 @@
     last_seen_at = 0.0
     propagates_context = False
 
-    def __init__(self, node: Node, timer: SteppedTimer, connect_s: float, stops_at: float) -> None:
+    def __init__(
+        self,
+        node: Node,
+        timer: SteppedTimer,
+        connect_s: float,
+        stops_at: float,
+        node_state: NodeState,
+    ) -> None:
         self._node = node
         self._timer = timer
         self._connect_s = connect_s
         self._stops_at = stops_at
+        self._node_state = node_state
         self.runs = 0
         self.kept: list[object] = []
 
     async def connect(self, now: float, idempotent: bool) -> object:
         self._timer.time += self._connect_s
-        self._node.state = NodeState.DRAINING
+        self._node.state = self._node_state
         begin_stop(self._node.gate, self._stops_at)
         return "connection"
 
@@ -144,11 +153,16 @@
         return Answered(200, [], b"")
 
 
-def serve_slowly(connect_s: float, stops_at: float, deadline: float) -> tuple[Outcome, SlowTarget]:
+def serve_slowly(
+    connect_s: float,
+    stops_at: float,
+    deadline: float,
+    node_state: NodeState = NodeState.DRAINING,
+) -> tuple[Outcome, SlowTarget]:
     """Serve a call on a target to which it takes some time to connect."""
     node: Any = make_admin_node()
     timer = SteppedTimer()
-    target = SlowTarget(node, timer, connect_s, stops_at)
+    target = SlowTarget(node, timer, connect_s, stops_at, node_state)
     node.timer, node.target = timer, target
     call = make_call(deadline)
     call.service = node.settings.service
@@ -162,6 +176,13 @@
     assert (target.runs, target.kept) == (0, ["connection"])
 
 
+# An interrupted node sent a call whose claim came after it had cancelled those in progress.
+def test_call_whose_connection_comes_after_an_interrupt_is_not_run() -> None:
+    outcome, target = serve_slowly(2.0, stops_at=4.0, deadline=3.0, node_state=NodeState.STOPPED)
+    assert outcome == NotRun(Reason.DRAINING, DRAINING_RETRY_S, 3)
+    assert target.runs == 0
+
+
 def test_call_whose_deadline_is_within_the_stop_begins() -> None:
     outcome, target = serve_slowly(connect_s=2.0, stops_at=4.0, deadline=3.0)
     assert (outcome, target.runs) == (Answered(200, [], b""), 1)
