Refuse to reload settings that are not valid for the deployment

What callers saw: connections that end with their requests in flight, as the node is killed at the end of the grace period of a planned stop.

Cause: a settings file that is rewritten in place may be read while it is valid YAML but lacks lines of its platform section. `adapt_settings` returned such settings unadapted, and the reload applied the plain defaults: `drain_s` 30, `leave_s` 2, `target_lease_s` 3. `bounds` and `limits` had defaults, too, although docs/SETTINGS.md lists them as required, so that a file that ended before them passed.

Adapting now returns a Result, as loading does, and an invalid file of either kind is logged as not reloaded and changes nothing. A file for the other deployment (a table instead of the platform, or the reverse) is refused as well: it needs a restart.

Files with neither or both sections were refused already. Settings of the tests gained the empty `limits` that is required now; no check of theirs changed.

--- a/src/pollenbay/adapter.py
+++ b/src/pollenbay/adapter.py
@@ -3,18 +3,24 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 
+from result import Err, Ok, Result
+
 from pollenbay.budget import DEFAULT_RETRY_RATES, RetryRates
 from pollenbay.commands.rulesync import run_polls
 from pollenbay.dialect import TargetDialect
 from pollenbay.membership import Membership
-from pollenbay.settings import Settings, TableSettings
+from pollenbay.settings import Settings, SettingsError, SettingsInvalidError, TableSettings
 from pollenbay.table import Table, make_table
 from pollenbay.translation import make_plain_dialect
 
+AdaptSettings = Callable[[Settings], Result[Settings, SettingsError]]
+
 
-def keep_settings(settings: Settings) -> Settings:
-    """Return settings as they are."""
-    return settings
+def keep_settings(settings: Settings) -> Result[Settings, SettingsError]:
+    """Return settings as they are, if they are for this project's own interfaces."""
+    if settings.table is None:
+        return Err(SettingsInvalidError("table: missing; another deployment needs a restart"))
+    return Ok(settings)
 
 
 @dataclass(frozen=True, slots=True)
@@ -26,7 +32,8 @@
     :param adaptive_limit: whether the concurrency limit adapts; otherwise it follows the announced
         slots.
     :param run_rule_sync: task that watches for newer rules.
-    :param adapt: returns settings completed with values derived from the deployment's own.
+    :param adapt: returns settings completed with values derived from the deployment's own, or why
+        they are not valid for it.
     """
 
     table: Table
@@ -35,7 +42,7 @@
     budget_by_service: bool
     adaptive_limit: bool
     run_rule_sync: Callable[[Membership], Awaitable[None]]
-    adapt: Callable[[Settings], Settings] = keep_settings
+    adapt: AdaptSettings = keep_settings
 
 
 def make_plain_adapter(settings: TableSettings) -> Adapter:
--- a/src/pollenbay/commands/reloading.py
+++ b/src/pollenbay/commands/reloading.py
@@ -31,12 +31,12 @@
 
 def reload_settings(node: Node, path: Path) -> None:
     """Reload the settings; invalid ones are logged and change nothing."""
-    loaded = load_settings(path)
+    loaded = load_settings(path).and_then(node.adapt)
     if isinstance(loaded, Err):
         LOG.error("settings not reloaded", extra={"error": str(loaded.err_value)})
         return
     before = asdict(node.settings)
-    after = asdict(node.adapt(loaded.ok_value))
+    after = asdict(loaded.ok_value)
     changed = [name for name, value in after.items() if before[name] != value]
     node.settings = _apply_changes(node.settings, after, changed)
     set_log_level(node.settings.log_level)
--- a/src/pollenbay/daemon.py
+++ b/src/pollenbay/daemon.py
@@ -131,7 +131,7 @@
 async def _serve_platform(settings: Settings, path: Path) -> int:
     """Run a node with the interfaces of the users' platform, whose settings `main` has checked."""
     platform = read_platform_settings(settings).unwrap()
-    settings = adapt_settings(settings)
+    settings = adapt_settings(settings).unwrap()
     listeners = _listen(settings)
     adapter = make_platform_adapter(platform)
     node = make_node(settings, port_of(listeners.link), adopt, read_current, adapter)
--- a/src/pollenbay/node.py
+++ b/src/pollenbay/node.py
@@ -1,13 +1,12 @@
 """State of one node, which commands change and queries read."""
 
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from math import inf
 from random import Random
 
 from curio import Event
 
-from pollenbay.adapter import Adapter, make_plain_adapter
+from pollenbay.adapter import Adapter, AdaptSettings, make_plain_adapter
 from pollenbay.bodymemory import BodyMemory, make_body_memory
 from pollenbay.budget import RetryBudgets, make_retry_budgets
 from pollenbay.contexts import Contexts, make_contexts
@@ -41,7 +40,8 @@
 
     :param state: life cycle state of the process; changed by `pollenbay.commands.lifecycle`.
     :param decisions: log of decisions on single requests.
-    :param adapt: returns the settings, completed with values derived from the deployment's own.
+    :param adapt: returns settings completed with values derived from the deployment's own, or why
+        they are not valid for it.
     :param saturation: admission levels of the local target and of downstream services.
     :param throttle: recorded properties of routes, used to throttle callers' requests.
     :param origins: sources of the requests at the local target.
@@ -74,7 +74,7 @@
     metrics: Metrics
     random: Random
     decisions: DecisionLog
-    adapt: Callable[[Settings], Settings]
+    adapt: AdaptSettings
     saturation: Saturation = field(default_factory=make_saturation)
     throttle: Throttle = field(default_factory=make_throttle)
     origins: Origins = field(default_factory=make_origins)
--- a/src/pollenbay/platform/settings.py
+++ b/src/pollenbay/platform/settings.py
@@ -1,5 +1,6 @@
 """Settings of the platform adapter, and the node settings that follow from them."""
 
+from functools import partial
 from typing import Annotated
 
 from msgspec import Meta, Struct, ValidationError, convert
@@ -77,8 +78,8 @@
     readiness: str
     check_ins: str
     check_in_ms: float
-    bounds: dict[str, object] = {}
-    limits: dict[str, object] = {}
+    bounds: dict[str, object]
+    limits: dict[str, object]
 
 
 def read_platform_settings(settings: Settings) -> Result[PlatformSettings, SettingsInvalidError]:
@@ -128,15 +129,9 @@
     return convert(settings.limits, MachineLimits, strict=False)
 
 
-def adapt_settings(settings: Settings) -> Settings:
-    """Return settings of a node with the times and limits derived from the platform's.
-
-    Settings without valid adapter settings are returned unchanged.
-    """
-    platform = read_platform_settings(settings)
-    if isinstance(platform, Err):
-        return settings
-    return _with_bounds(settings, platform.ok_value)
+def adapt_settings(settings: Settings) -> Result[Settings, SettingsInvalidError]:
+    """Return settings of a node with the times and limits derived from the platform's."""
+    return read_platform_settings(settings).map(partial(_with_bounds, settings))
 
 
 def _with_bounds(settings: Settings, platform: PlatformSettings) -> Settings:
--- a/tests/platform_node.py
+++ b/tests/platform_node.py
@@ -92,6 +92,7 @@
                 "check_ins": f"{ADDRESS}:{self.check_ins_port}",
                 "check_in_ms": 1500,
                 "bounds": {"grace_s": 2, "closed": True},
+                "limits": {},
             },
         }
 
--- a/tests/store_nodes.py
+++ b/tests/store_nodes.py
@@ -71,6 +71,7 @@
                 "store": f"{ADDRESS}:{self.proxy.port}",
                 "check_in_ms": 1500,
                 "bounds": self._bounds,
+                "limits": {},
                 **dict(zip(("target", "requests", "readiness", "check_ins"), ports, strict=True)),
             },
         }
--- a/tests/test_platform_settings.py
+++ b/tests/test_platform_settings.py
@@ -29,6 +29,7 @@
         "check_ins": "10.0.0.1:8306",
         "check_in_ms": 1500,
         "bounds": {"grace_s": 6, "closed": True, "retry_budget_ratio": 0.2},
+        "limits": {},
     },
 }
 
@@ -60,18 +61,29 @@
 )
 def test_invalid_settings_are_rejected(changes: dict[str, Any]) -> None:
     assert read_platform_settings(settings(**changes)).is_err()
+    assert adapt_settings(settings(**changes)).is_err()
+
+
+@mark.parametrize("key", list(VALID["platform"]))
+def test_each_platform_key_is_required(key: str) -> None:
+    document = deepcopy(VALID)
+    del document["platform"][key]
+    incomplete = parse_settings(document, "test").unwrap()
+    assert read_platform_settings(incomplete).is_err()
+    assert adapt_settings(incomplete).is_err()
 
 
 def test_leave_and_drain_fit_in_the_grace_period() -> None:
-    adapted = adapt_settings(settings())
+    adapted = adapt_settings(settings()).unwrap()
     assert adapted.leave_s + adapted.drain_s <= 6 - STOP_MARGIN_S + 1e-9
     assert adapted.target_lease_s > 3.0
 
 
 def test_limits_of_the_machine_replace_those_of_the_node() -> None:
-    limits = adapt_settings(settings(limits={"memory_mb": 300, "max_fds": 4100, "x": 1})).limits
+    machine = {"memory_mb": 300, "max_fds": 4100, "x": 1}
+    limits = adapt_settings(settings(limits=machine)).unwrap().limits
     assert (limits.memory_mb, limits.caller_connections_max) == (300.0, 2050)
-    unset = adapt_settings(settings()).limits
+    unset = adapt_settings(settings()).unwrap().limits
     assert unset == settings().limits
 
 
@@ -89,6 +101,6 @@
 
 
 def test_new_work_is_accepted_for_a_bounded_time_in_a_long_stop() -> None:
-    long = adapt_settings(settings(bounds={"grace_s": 10}))
+    long = adapt_settings(settings(bounds={"grace_s": 10})).unwrap()
     assert long.leave_s == LEAVE_MAX_S
     assert long.leave_s + long.drain_s == 10 - STOP_MARGIN_S
