Free the bodies of cancelled calls at once

Cause: curio raises a cancellation or time-out in a frame (`_kernel_trap`) whose local variable keeps the exception, and keeps it in the task that ends by it. Exception, traceback and frames thus form a cycle that holds all frames the exception has passed through, with what they have read, encoded or are sending, until the cycle collector runs. It counts objects, not bytes, and long bodies are few objects.

`task.AcyclicTask`, the class of all tasks of a node, clears the frame of the wait once the exception has been delivered, and drops traceback and context of a cancellation that has ended a task; curio offers both places for subclasses. Reading, sending and waiting are covered alike, so no reader needs a case of its own. Errors that are not cancellations keep their tracebacks; they have left no cycles.

--- a/src/pollenbay/daemon.py
+++ b/src/pollenbay/daemon.py
@@ -35,6 +35,7 @@
 from pollenbay.settings import Settings, load_settings
 from pollenbay.signals import StopSignals, catch_signals
 from pollenbay.stream import accept_streams, listen, port_of
+from pollenbay.task import AcyclicTask
 
 LOG = getLogger("pollenbay.daemon")
 EXIT_OK = 0
@@ -95,7 +96,10 @@
             click.echo(f"pollenbayd: {path}: {platform.err_value}", err=True)
             exit(EXIT_BAD_SETTINGS)
     if not check:
-        exit(run(serve_node, settings.ok_value, path, selector=make_selector()))
+        exit_code = run(
+            serve_node, settings.ok_value, path, selector=make_selector(), taskcls=AcyclicTask
+        )
+        exit(exit_code)
 
 
 async def serve_node(settings: Settings, path: Path) -> int:
