--- a/tests/platform_node.py
+++ b/tests/platform_node.py
@@ -96,6 +96,7 @@
                 "check_ins": f"{ADDRESS}:{self.check_ins_port}",
                 "check_in_ms": 1500,
                 "bounds": {"grace_s": self._grace_s, "closed": True},
+                "limits": {},
             },
         }
 
