Wait for responses in a planned stop, not only for calls

What callers saw: in the stop of their node, a long response that they read slowly ended in the middle of its body. In the stop of the node beside the instance, 502 from the entry, although the instance had answered in full. Cause: the stop waited for calls (watch, gate), and a call is over once its outcome is known. Nothing counted the response that was then still being written, to a client or to another node, so the process ended and closed the connection. Change: the stop waits for open exchanges too, within `stops_at`. Responses that are due after the cut have up to 0.4 s instead of 0.2 s, of the 0.7 s that the platform's settings leave before the kill.

--- a/src/pollenbay/commands/lifecycle.py
+++ b/src/pollenbay/commands/lifecycle.py
@@ -17,6 +17,9 @@
 DRAIN_POLL_S = 0.05
 #: Seconds for the last responses to reach their callers' hosts before the process ends.
 LINGER_S = 0.2
+#: Maximum of that time while responses are still being sent; less than the platform's reserve
+#: between the end of a planned stop and the kill, since the process needs time to end.
+LINGER_MAX_S = 0.4
 #: Maximum wait for responses of non-idempotent calls to be written to the table.
 RECORD_WAIT_S = 5.0
 
@@ -55,14 +58,14 @@
 
 
 async def drain(node: Node) -> bool:
-    """Stop accepting calls, wait for those in flight and return whether all of them have ended.
+    """Stop accepting calls, wait for those in flight and return whether all have been answered.
 
     Calls that arrive while the announcement spreads are served; after `leave_s` they are refused
     as not run, except calls of the local target whose deadline is within the stop. The node's row
     is removed from the table concurrently, since an unresponsive table must not delay the stop.
-    Once no call is in progress or the time is over, all calls are refused. Calls that outlast the
-    stop are cancelled, so that their callers get an outcome. Responses of claimed calls are written
-    before the process ends.
+    Once no call is in progress and no response is due, or the time is over, all calls are refused.
+    Calls that outlast the stop are cancelled, so that their callers get an outcome. Responses of
+    claimed calls are written before the process ends.
     """
     node.stopping_since = node.timer.now()
     node.stops_at = node.stopping_since + node.settings.leave_s + node.settings.drain_s
@@ -78,7 +81,7 @@
         finished = False
         await abort_calls(node)
     finished = await drain_ledger(node.ledger, RECORD_WAIT_S) == 0 and finished
-    await sleep(LINGER_S)
+    await _linger(node)
     if not withdrawal.terminated:
         LOG.warning("row not removed before the stop")
         await withdrawal.cancel()
@@ -114,6 +117,13 @@
 
 async def _stop_when_idle(node: Node) -> None:
     # No other task runs between the last check and the change of state.
-    while node.watch.in_progress or node.gate.in_flight:
+    while node.watch.in_progress or node.gate.in_flight or node.exchanges.open:
         await sleep(DRAIN_POLL_S)
     change_state(node, NodeState.STOPPED)
+
+
+async def _linger(node: Node) -> None:
+    ends_at = node.timer.now() + LINGER_MAX_S
+    await sleep(LINGER_S)
+    while node.exchanges.open and node.timer.now() < ends_at:
+        await sleep(DRAIN_POLL_S)
--- a/tests/platform_node.py
+++ b/tests/platform_node.py
@@ -49,6 +49,7 @@
     :param limits: resource limits in the settings of the node.
     :param number: number of the node in its name.
     :param store: store of the other nodes; by default a new one.
+    :param grace_s: seconds from the stop signal until the platform kills the process.
     """
 
     def __init__(
@@ -60,12 +61,14 @@
         number: int = 1,
         service: str = SERVICE,
         store: Process | None = None,
+        grace_s: float = 2,
     ) -> None:
         self._processes = processes
         self._folder = folder
         self._limits = limits or {}
         self._name = f"node-{number}"
         self._service = service
+        self._grace_s = grace_s
         self._target = f"i-{number}"
         self.store = store or processes.start("store", "standins.metadata")
         self.instance = processes.start("instance", "standins.instance", "--name", self._target)
@@ -91,7 +94,7 @@
                 "readiness": f"{ADDRESS}:{self.readiness_port}",
                 "check_ins": f"{ADDRESS}:{self.check_ins_port}",
                 "check_in_ms": 1500,
-                "bounds": {"grace_s": 2, "closed": True},
+                "bounds": {"grace_s": self._grace_s, "closed": True},
             },
         }
 
@@ -118,7 +121,12 @@
     def add_node(self, service: str) -> "PlatformNode":
         """Return a second node, of another service, at the same store; it has not been started."""
         return PlatformNode(
-            self._processes, self._folder, number=2, service=service, store=self.store
+            self._processes,
+            self._folder,
+            number=2,
+            service=service,
+            store=self.store,
+            grace_s=self._grace_s,
         )
 
     def publish(self, document: bytes) -> None:
