Answer every request that was received before a stopping node closes

What callers saw: on a connection with several requests under way, the node was stopped and a request got no answer: the connection ended behind the response before it, or was reset. Cause: in a stop the response to the last call that was started carried 'connection: close' and ended the connection. A request that had been read and waited for its turn (an unsafe one waits for all before it) did not count as started; its task was cancelled with it in hand. Bytes of further requests, received with the one that was answered or unread in the socket, were dropped too. Evidence: the new test failed in three of four cases before (read, received, unread: "the connection was closed before the response", once a reset); the fourth, requests that wait for room, passed. Change: a stopping node adds 'connection: close' right before it sends, and only if nothing further has been read or has arrived: for the pipeline, its last call is the last request of which a byte came; for a request that runs alone, nothing stands behind it in the buffer or the socket. Once that is decided no call is started any more, and the reader waits for the response to go out instead of cutting it. Why it works: between the check and the decision no other task runs, so whatever was read is answered, at the end with a refusal. The check costs a poll, and only while the node is stopping. Measured: the four cases pass, as do the tests of pipeline, HTTP server, connections, hostile clients and input, stops, watch and the fuzzing of HTTP.

--- a/src/pollenbay/callerfrontend.py
+++ b/src/pollenbay/callerfrontend.py
@@ -132,8 +132,12 @@
     :param closable: whether the connection may be closed in favour of another one while it waits
         for a request and has no calls.
     """
+
+    def closes() -> bool:
+        return node.is_stopping and not server.has_next
+
     task = await current_task()
-    pipeline = make_pipeline(task)
+    pipeline = make_pipeline(task, closes)
     server = HttpServer(
         sock,
         node.settings.limits.body_bytes,
@@ -146,7 +150,10 @@
     try:
         while True:
             request = await _read_request(node, server, pipeline, task, source, holding, closable)
-            if request is None or pipeline.closed:
+            if request is None:
+                return
+            if pipeline.closed:
+                await pipeline.wait_until_empty()
                 return
             exchange = node.exchanges.begin()
             work = partial(_respond, node, sock, request, respond, holding)
@@ -159,7 +166,10 @@
                 holding = make_holding(node.body_memory, BodyHolder.CLIENT)
             else:
                 await pipeline.wait_until_empty()
-                is_last = not await server.write_response(await work(task))
+                response = await work(task)
+                if node.is_stopping and not server.has_trailing:
+                    response.headers.append((b"connection", b"close"))
+                is_last = not await server.write_response(response)
                 release(holding)
                 exchange.end()
             if is_last:
@@ -185,8 +195,6 @@
 ) -> HttpResponse:
     response = await respond(node, Connection(sock, task), request)
     hold_received(holding, len(response.body))
-    if node.is_stopping:
-        response.headers.append((b"connection", b"close"))
     return response
 
 
--- a/src/pollenbay/httpserver.py
+++ b/src/pollenbay/httpserver.py
@@ -23,7 +23,7 @@
     hold_unlimited,
 )
 from pollenbay.outcome import Headers
-from pollenbay.stream import receive, send_parts
+from pollenbay.stream import peer_has_sent_or_closed, receive, send_parts
 
 PROBLEM_STATUSES = {
     BodyProblem.CUT_SHORT: 400,
@@ -118,6 +118,19 @@
         """Return whether the client may send another request after the last one."""
         return self._conn.their_state is h11.DONE
 
+    @property
+    def has_next(self) -> bool:
+        """Return, without waiting, whether another request has begun to arrive.
+
+        One that was read counts until its response is detached.
+        """
+        return self._received_bytes > 0 or peer_has_sent_or_closed(self._sock)
+
+    @property
+    def has_trailing(self) -> bool:
+        """Return, without waiting, whether bytes have arrived behind the request read last."""
+        return bool(self._conn.trailing_data[0]) or peer_has_sent_or_closed(self._sock)
+
     async def read_request(self, hold: HoldBody = hold_unlimited) -> HttpRequest | None:
         """Return the next request, or None when the client has closed.
 
@@ -146,6 +159,7 @@
         pending = self._pending_response()
         unread_bytes, has_closed = self._conn.trailing_data
         self._conn = _make_connection()
+        self._received_bytes = len(unread_bytes)
         if unread_bytes:
             self._conn.receive_data(unread_bytes)
         if has_closed:
--- a/src/pollenbay/pipeline.py
+++ b/src/pollenbay/pipeline.py
@@ -26,15 +26,23 @@
     """Leave everything as it is at the end of a call."""
 
 
+def _keep_open() -> bool:
+    """Let no response close the connection."""
+    return False
+
+
 class Pipeline:
     """Calls of one connection in the order of their requests.
 
     :param task: task that reads the requests; it is cancelled when the connection must not be used
         any more.
+    :param closes: returns whether the response that is sent next, the last of those started, is to
+        close the connection.
     """
 
-    def __init__(self, task: Task) -> None:
+    def __init__(self, task: Task, closes: Callable[[], bool]) -> None:
         self._task = task
+        self._closes = closes
         self._calls: dict[Task, int] = {}
         self._started = 0
         self._turn = 0
@@ -43,7 +51,10 @@
 
     @property
     def closed(self) -> bool:
-        """Return whether the response that closes the connection was sent or can't be sent."""
+        """Return whether the connection ends: no call may be started any more.
+
+        The response that closes it is being sent, was sent or can't be sent.
+        """
         return self._closed
 
     @property
@@ -113,16 +124,12 @@
                 await self._task.cancel(blocking=False)
 
     async def _send(self, number: int, pending: PendingResponse, response: HttpResponse) -> bool:
-        """Send a response and return whether the connection can be used again.
-
-        What stands behind a response that closes the connection counts as not read by the client,
-        so the connection is closed only if no later call was started.
-        """
+        """Send a response and return whether the connection can be used again."""
         if self._closed:
             return False
-        is_last = number + 1 == self._started
-        if not is_last:
-            response.headers = [pair for pair in response.headers if pair[0] != b"connection"]
+        if number + 1 == self._started and self._closes():
+            self._closed = True
+            response.headers.append((b"connection", b"close"))
         try:
             return await pending.send(response)
         except OSError as error:
@@ -134,6 +141,6 @@
         await self._changed.wait()
 
 
-def make_pipeline(task: Task) -> Pipeline:
+def make_pipeline(task: Task, closes: Callable[[], bool] = _keep_open) -> Pipeline:
     """Return a pipeline without calls."""
-    return Pipeline(task)
+    return Pipeline(task, closes)
--- a/tests/test_pipeline.py
+++ b/tests/test_pipeline.py
@@ -12,7 +12,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from platform_node import HOST, PlatformNode, make_route
-from pytest import fixture
+from pytest import fixture, mark
 
 from pollenbay.http1 import HttpResponse
 from pollenbay.httpserver import HttpServer
@@ -20,6 +20,8 @@
 
 WORK_S = 0.6
 RECEIVE_BYTES = 65536
+#: Request by which the node was seen to serve.
+PROBE = "0123456789abcdef"
 
 
 class PipelinedClient:
@@ -185,6 +187,35 @@
         node.terminate()
         assert client.read(3) == [(200, "p0"), (200, "p1"), (200, "p2")]
 
+    # A response that closed its connection, as the last one begun, left the request behind it
+    # without an answer: read and waiting for its turn, received with the one before it, or unread.
+    @mark.parametrize(
+        "writes",
+        [
+            ([work(WORK_S), work(0, "unsafe")],),
+            ([work(WORK_S, "unsafe"), work(0, "unsafe"), work(0)],),
+            ([work(WORK_S, "unsafe")], [work(0, "unsafe"), work(0)]),
+            ([work(WORK_S)] * (CALLS_MAX + 2),),
+        ],
+        ids=["read", "received", "unread", "waits-for-room"],
+    )
+    def test_planned_stop_answers_all_that_was_received(self, served, writes) -> None:
+        platform, node = served
+        client = PipelinedClient(platform.requests_port)
+        client.send(*writes[0])
+        wait_until(lambda: platform.has_started("p0"), 2.0)
+        node.terminate()
+        sent = len(writes[0])
+        for paths in writes[1:]:
+            client.send(*paths, first=sent)
+            sent += len(paths)
+        responses = client.read(sent)
+        assert [name for _, name in responses] == [f"p{number}" for number in range(sent)]
+        answered = {name for status, name in responses if status == 200}
+        assert "p0" in answered and {status for status, _ in responses} <= {200, 503}
+        assert answered == started(platform) - {PROBE}
+        assert client.at_end()
+
     def test_interim_response_waits_for_the_responses_before_it(self, served) -> None:
         platform, _ = served
         client = PipelinedClient(platform.requests_port)
