End a connection after its last response without a reset

What callers saw: the last response of a connection, sent in full by the node, arrived cut, with a reset. Cause: the node closed the socket right after its last response. If bytes of a further request were unread or arrived later, the close was a reset, which discards what the other side has not received. Change: after the response that closes a connection the node shuts down its sending side, and reads and discards until the client has closed, for 1 s at most; a node that has stopped, whose cut tasks can't be cancelled once more, 0.2 s. The reader of a pipelined connection is no longer cancelled then: it reads the end, or the watch closes it after that time. So it is after a refusal of an unreadable request. Ruled out: reading what has arrived when the end of the process cancels a connection. It would have spared a cut response the reset, but taken requests that count as unread, and may be sent again, as long as nobody reads them. Why it works: nothing is unread at the close, and nothing of the client arrives after it, unless the client sends for longer than that time.

--- a/src/pollenbay/callerfrontend.py
+++ b/src/pollenbay/callerfrontend.py
@@ -21,16 +21,18 @@
     wait_for_token,
 )
 from pollenbay.commands.entry import enter_from_caller, enter_from_target
+from pollenbay.commands.lifecycle import LINGER_S
 from pollenbay.exchange import Exchange
 from pollenbay.http1 import HttpRequest, HttpRequestError, HttpResponse
 from pollenbay.httpserver import HttpServer
 from pollenbay.ids import CallerId
 from pollenbay.node import Node
 from pollenbay.outcome import NotRun, Outcome
-from pollenbay.pipeline import Pipeline, make_pipeline
+from pollenbay.pipeline import Pipeline, Work, make_pipeline
 from pollenbay.queries.bodymemory import has_room
 from pollenbay.queries.rules import find_call
-from pollenbay.states import BodyHolder, Reason
+from pollenbay.states import BodyHolder, NodeState, Reason
+from pollenbay.stream import CLOSE_WAIT_S, finish
 from pollenbay.translation import (
     TranslationError,
     read_call_request,
@@ -148,13 +150,12 @@
     holding = make_holding(node.body_memory, BodyHolder.CLIENT)
     exchange: Exchange | None = None
     try:
-        while True:
+        while not pipeline.closed:
             request = await _read_request(node, server, pipeline, task, source, holding, closable)
             if request is None:
                 return
             if pipeline.closed:
-                await pipeline.wait_until_empty()
-                return
+                break
             exchange = node.exchanges.begin()
             work = partial(_respond, node, sock, request, respond, holding)
             if may_overlap(node, request):
@@ -166,18 +167,18 @@
                 holding = make_holding(node.body_memory, BodyHolder.CLIENT)
             else:
                 await pipeline.wait_until_empty()
-                response = await work(task)
-                if node.is_stopping and not server.has_trailing:
-                    response.headers.append((b"connection", b"close"))
-                is_last = not await server.write_response(response)
+                is_last = not await _respond_alone(node, server, work, task)
                 release(holding)
                 exchange.end()
+            # Their bodies must not outlast the memory that is held for them.
+            del request, work
             if is_last:
-                await pipeline.wait_until_empty()
-                return
+                break
             served += 1
             if served % REQUESTS_PER_YIELD == 0:
                 await sleep(0)
+        await pipeline.wait_until_empty()
+        await _finish(node, sock)
     finally:
         release(holding)
         if exchange is not None:
@@ -198,6 +199,28 @@
     return response
 
 
+async def _respond_alone(
+    node: Node,
+    server: HttpServer,
+    work: Work,
+    task: Task,
+) -> bool:
+    """Send the response to the last request and return whether the connection can be used again."""
+    response = await work(task)
+    if node.is_stopping and not server.has_trailing:
+        response.headers.append((b"connection", b"close"))
+    return await server.write_response(response)
+
+
+async def _finish(node: Node, sock: Socket) -> None:
+    """End a connection after its last response.
+
+    If the stop has cancelled its call, the task cannot be cancelled once more, and the process
+    waits for it.
+    """
+    await finish(sock, LINGER_S if node.state is NodeState.STOPPED else CLOSE_WAIT_S)
+
+
 def _end_call(
     node: Node,
     task: Task,
@@ -209,7 +232,8 @@
     release(holding)
     exchange.end()
     if not pipeline.calls:
-        ends_at = node.timer.now() + node.settings.limits.caller_idle_s
+        idle_s = CLOSE_WAIT_S if pipeline.closed else node.settings.limits.caller_idle_s
+        ends_at = node.timer.now() + idle_s
         node.watch.record_calls_ended(task, ends_at, closable)
 
 
@@ -257,15 +281,20 @@
         ) as wait:
             request = await server.read_request(partial(_hold_body, node, task, pipeline, holding))
     except HttpRequestError as error:
-        release(holding)
-        node.metrics.record_bad_input(source)
-        await pipeline.wait_until_empty()
-        await server.write_failure(response_to_bad_request(error.status))
-        return None
-    if request is None or wait.given_up:
-        return None
-    request.arrived_at = node.timer.now()
-    return request
+        status = error.status
+    else:
+        if request is None or wait.given_up:
+            return None
+        request.arrived_at = node.timer.now()
+        return request
+    # The error, which refers to the bytes of the body, is gone before any wait.
+    release(holding)
+    node.metrics.record_bad_input(source)
+    await pipeline.wait_until_empty()
+    if not pipeline.closed:
+        await server.write_failure(response_to_bad_request(status))
+    await _finish(node, server.sock)
+    return None
 
 
 async def _respond_to_caller(
--- a/src/pollenbay/httpserver.py
+++ b/src/pollenbay/httpserver.py
@@ -23,7 +23,7 @@
     hold_unlimited,
 )
 from pollenbay.outcome import Headers
-from pollenbay.stream import peer_has_sent_or_closed, receive, send_parts
+from pollenbay.stream import peer_has_sent_or_closed, receive, send_parts, shut_down_sending
 
 PROBLEM_STATUSES = {
     BodyProblem.CUT_SHORT: 400,
@@ -60,6 +60,10 @@
         await send_parts(self._sock, self._encode(response))
         return self._conn.our_state is h11.DONE and self._conn.their_state is h11.DONE
 
+    async def shut_down(self) -> None:
+        """Tell the client that no response follows."""
+        await shut_down_sending(self._sock)
+
     async def send_failure(self, response: HttpResponse) -> None:
         """Send a response to an unreadable request, unless a response was already started."""
         if self._conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
--- a/src/pollenbay/pipeline.py
+++ b/src/pollenbay/pipeline.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Awaitable, Callable
+from enum import Enum
 from logging import getLogger
 
 from curio import Event, Task, current_task, spawn
@@ -31,11 +32,18 @@
     return False
 
 
+class Delivery(Enum):
+    """What became of a response."""
+
+    SENT = "sent"
+    SENT_LAST = "sent-last"
+    NOT_SENT = "not-sent"
+
+
 class Pipeline:
     """Calls of one connection in the order of their requests.
 
-    :param task: task that reads the requests; it is cancelled when the connection must not be used
-        any more.
+    :param task: task that reads the requests; it is cancelled when a response can't be sent.
     :param closes: returns whether the response that is sent next, the last of those started, is to
         close the connection.
     """
@@ -107,34 +115,38 @@
         self, number: int, pending: PendingResponse, work: Work, on_end: Callable[[], None]
     ) -> None:
         task = await current_task()
-        sent = False
+        delivery = Delivery.NOT_SENT
         try:
             response = await work(task)
             self._calls[task] += len(response.body)
             while self._turn != number:
                 await self._wait_for_change()
-            sent = await self._send(number, pending, response)
+            delivery = await self._send(number, pending, response)
         finally:
             del self._calls[task]
+            self._closed = self._closed or delivery is not Delivery.SENT
             on_end()
             self._turn += 1
-            self._closed = self._closed or not sent
             await self._changed.set()
-            if self._closed:
+            if delivery is Delivery.NOT_SENT:
                 await self._task.cancel(blocking=False)
 
-    async def _send(self, number: int, pending: PendingResponse, response: HttpResponse) -> bool:
-        """Send a response and return whether the connection can be used again."""
+    async def _send(
+        self, number: int, pending: PendingResponse, response: HttpResponse
+    ) -> Delivery:
         if self._closed:
-            return False
+            return Delivery.NOT_SENT
         if number + 1 == self._started and self._closes():
             self._closed = True
             response.headers.append((b"connection", b"close"))
         try:
-            return await pending.send(response)
+            if await pending.send(response) and not self._closed:
+                return Delivery.SENT
+            await pending.shut_down()
+            return Delivery.SENT_LAST
         except OSError as error:
             LOG.debug("response not sent", extra={"error": str(error)})
-            return False
+            return Delivery.NOT_SENT
 
     async def _wait_for_change(self) -> None:
         self._changed.clear()
--- a/src/pollenbay/stream.py
+++ b/src/pollenbay/stream.py
@@ -5,9 +5,17 @@
 from logging import getLogger
 from select import POLLERR, POLLHUP, POLLIN, POLLRDHUP, poll
 
-from curio import TaskGroup, TaskTimeout, sleep, timeout_after
+from curio import TaskGroup, TaskTimeout, ignore_after, sleep, timeout_after
 from curio.io import Socket
-from curio.socket import AF_INET, IPPROTO_TCP, SO_REUSEADDR, SOCK_STREAM, SOL_SOCKET, TCP_NODELAY
+from curio.socket import (
+    AF_INET,
+    IPPROTO_TCP,
+    SHUT_WR,
+    SO_REUSEADDR,
+    SOCK_STREAM,
+    SOL_SOCKET,
+    TCP_NODELAY,
+)
 from curio.socket import socket as make_socket
 from curio.traps import _read_wait as wait_readable
 
@@ -15,6 +23,9 @@
 BACKLOG_CONNECTIONS = 1024
 #: Longest message whose parts are joined before they are sent.
 JOINED_BYTES_MAX = 65536
+#: Maximum time for which the other side may leave a connection open after the last bytes sent.
+CLOSE_WAIT_S = 1.0
+DISCARD_BYTES = 65536
 CLOSED_EVENTS = POLLRDHUP | POLLHUP | POLLERR
 #: Time between two attempts to accept a connection after one has failed.
 ACCEPT_RETRY_S = 0.1
@@ -140,6 +151,29 @@
         await sock.sendall(part)
 
 
+async def shut_down_sending(sock: Socket) -> None:
+    """Tell the other side that no more bytes follow.
+
+    :raises OSError: if the connection broke.
+    """
+    await sock.shutdown(SHUT_WR)
+
+
+async def finish(sock: Socket, wait_s: float = CLOSE_WAIT_S) -> None:
+    """End a connection after its last bytes: wait until the other side has closed it, too.
+
+    What still arrives is discarded. A close with unread bytes, or before further ones, resets the
+    connection, and what has not been delivered is lost.
+
+    :param wait_s: maximum seconds to wait.
+    :raises OSError: if the connection broke.
+    """
+    await shut_down_sending(sock)
+    async with ignore_after(wait_s):
+        while await receive(sock, DISCARD_BYTES):
+            continue
+
+
 def peer_has_closed(sock: Socket) -> bool:
     """Return, without waiting or reading, whether the other side has closed the connection."""
     return _has_event(sock, CLOSED_EVENTS)
--- a/tests/slow_reader.py
+++ b/tests/slow_reader.py
@@ -20,11 +20,12 @@
         self._sock.connect((ADDRESS, port))
         self._received = b""
 
-    def request(self, target: str, name: str, method: str = "GET") -> None:
+    def request(self, target: str, name: str, **headers: str) -> None:
         """Send a request without a body."""
+        lines = "".join(f"{header}: {value}\r\n" for header, value in headers.items())
         self._sock.sendall(
-            f"{method} {target} HTTP/1.1\r\nhost: {HOST}\r\n"
-            f"x-pollenbay-request-id: {name}\r\n\r\n".encode()
+            f"GET {target} HTTP/1.1\r\nhost: {HOST}\r\n"
+            f"x-pollenbay-request-id: {name}\r\n{lines}\r\n".encode()
         )
 
     def read_body(self) -> tuple[int, int]:
