Keep a connection open behind a long response in a planned stop

What callers saw: in a planned stop, a request sent on a connection on which a long response was still being sent got no answer, though the node had read it. Cause: the response announced the close of its connection before it was sent. Whatever arrived while it was being sent, for as long as the client took to read it, was behind the close. Change: only a response of up to 64 KiB closes its connection in a planned stop. What arrives behind a longer one is answered, in the end with a refusal that closes. A request whose connection can't be used any more when its turn comes is not passed on.

--- a/src/pollenbay/callerfrontend.py
+++ b/src/pollenbay/callerfrontend.py
@@ -45,6 +45,9 @@
 REQUESTS_PER_YIELD = 8
 #: Time by which a connection with calls in progress may be idle for longer.
 CALL_LIMIT_S = 60.0
+#: Longest body of a response that closes its connection in a planned stop. While a longer one is
+#: being sent, further requests may arrive, and they are owed a response.
+CLOSING_BODY_MAX_BYTES = 65536
 STATUS_NO_CONTENT = 204
 STATUS_BAD_REQUEST = 400
 
@@ -135,8 +138,8 @@
         for a request and has no calls.
     """
 
-    def closes() -> bool:
-        return node.is_stopping and not server.has_next
+    def closes(response: HttpResponse) -> bool:
+        return _may_close_after(node, response) and not server.has_next
 
     task = await current_task()
     pipeline = make_pipeline(task, closes)
@@ -158,15 +161,17 @@
                 break
             exchange = node.exchanges.begin()
             work = partial(_respond, node, sock, request, respond, holding)
-            if may_overlap(node, request):
+            overlaps = may_overlap(node, request)
+            await (pipeline.wait_for_room() if overlaps else pipeline.wait_until_empty())
+            if pipeline.closed:
+                return
+            if overlaps:
                 is_last = not server.expects_more
-                await pipeline.wait_for_room()
                 on_end = partial(_end_call, node, task, pipeline, holding, exchange, closable)
                 await pipeline.start(request, server.detach_response(), work, on_end)
                 exchange = None
                 holding = make_holding(node.body_memory, BodyHolder.CLIENT)
             else:
-                await pipeline.wait_until_empty()
                 is_last = not await _respond_alone(node, server, work, task)
                 release(holding)
                 exchange.end()
@@ -207,11 +212,15 @@
 ) -> bool:
     """Send the response to the last request and return whether the connection can be used again."""
     response = await work(task)
-    if node.is_stopping and not server.has_trailing:
+    if _may_close_after(node, response) and not server.has_trailing:
         response.headers.append((b"connection", b"close"))
     return await server.write_response(response)
 
 
+def _may_close_after(node: Node, response: HttpResponse) -> bool:
+    return node.is_stopping and len(response.body) <= CLOSING_BODY_MAX_BYTES
+
+
 async def _finish(node: Node, sock: Socket) -> None:
     """End a connection after its last response.
 
--- a/src/pollenbay/pipeline.py
+++ b/src/pollenbay/pipeline.py
@@ -27,7 +27,7 @@
     """Leave everything as it is at the end of a call."""
 
 
-def _keep_open() -> bool:
+def _keep_open(response: HttpResponse) -> bool:
     """Let no response close the connection."""
     return False
 
@@ -44,11 +44,11 @@
     """Calls of one connection in the order of their requests.
 
     :param task: task that reads the requests; it is cancelled when a response can't be sent.
-    :param closes: returns whether the response that is sent next, the last of those started, is to
-        close the connection.
+    :param closes: returns whether a response, to the last of the calls started, is to close the
+        connection.
     """
 
-    def __init__(self, task: Task, closes: Callable[[], bool]) -> None:
+    def __init__(self, task: Task, closes: Callable[[HttpResponse], bool]) -> None:
         self._task = task
         self._closes = closes
         self._calls: dict[Task, int] = {}
@@ -136,7 +136,7 @@
     ) -> Delivery:
         if self._closed:
             return Delivery.NOT_SENT
-        if number + 1 == self._started and self._closes():
+        if number + 1 == self._started and self._closes(response):
             self._closed = True
             response.headers.append((b"connection", b"close"))
         try:
@@ -153,6 +153,6 @@
         await self._changed.wait()
 
 
-def make_pipeline(task: Task, closes: Callable[[], bool] = _keep_open) -> Pipeline:
+def make_pipeline(task: Task, closes: Callable[[HttpResponse], bool] = _keep_open) -> Pipeline:
     """Return a pipeline without calls."""
     return Pipeline(task, closes)
