Let the end of the process cancel a connection whose call the stop has cut

A node whose stop had cut a call stayed until it was killed, with its connections open, if the client had begun to send its next request. Cause: curio cancels a task once only. The stop cancels the task of the connection, which turns that into an outcome and goes on to read the next request; the cancellation at the end of the process had no effect. Since a request that has begun to arrive keeps its connection open, the task waited for the rest of it. Change: the task counts as not cancelled once the outcome is made. This replaces the shorter wait for the client's close in a stopped node.

--- a/src/pollenbay/callerfrontend.py
+++ b/src/pollenbay/callerfrontend.py
@@ -21,7 +21,6 @@
     wait_for_token,
 )
 from pollenbay.commands.entry import enter_from_caller, enter_from_target
-from pollenbay.commands.lifecycle import LINGER_S
 from pollenbay.exchange import Exchange
 from pollenbay.http1 import HttpRequest, HttpRequestError, HttpResponse
 from pollenbay.httpserver import HttpServer
@@ -31,7 +30,7 @@
 from pollenbay.pipeline import Pipeline, Work, make_pipeline
 from pollenbay.queries.bodymemory import has_room
 from pollenbay.queries.rules import find_call
-from pollenbay.states import BodyHolder, NodeState, Reason
+from pollenbay.states import BodyHolder, Reason
 from pollenbay.stream import CLOSE_WAIT_S, finish
 from pollenbay.translation import (
     TranslationError,
@@ -183,7 +182,7 @@
             if served % REQUESTS_PER_YIELD == 0:
                 await sleep(0)
         await pipeline.wait_until_empty()
-        await _finish(node, sock)
+        await finish(sock)
     finally:
         release(holding)
         if exchange is not None:
@@ -221,15 +220,6 @@
     return node.is_stopping and len(response.body) <= CLOSING_BODY_MAX_BYTES
 
 
-async def _finish(node: Node, sock: Socket) -> None:
-    """End a connection after its last response.
-
-    If the stop has cancelled its call, the task cannot be cancelled once more, and the process
-    waits for it.
-    """
-    await finish(sock, LINGER_S if node.state is NodeState.STOPPED else CLOSE_WAIT_S)
-
-
 def _end_call(
     node: Node,
     task: Task,
@@ -302,7 +292,7 @@
     await pipeline.wait_until_empty()
     if not pipeline.closed:
         await server.write_failure(response_to_bad_request(status))
-    await _finish(node, server.sock)
+    await finish(server.sock)
     return None
 
 
--- a/src/pollenbay/linkfrontend.py
+++ b/src/pollenbay/linkfrontend.py
@@ -61,7 +61,6 @@
         finally:
             exchange.end()
         if node.state is NodeState.STOPPED:
-            # If the stop has cancelled the call, this task cannot be cancelled once more.
             return
         served += 1
         if served % CALLS_PER_YIELD == 0:
--- a/src/pollenbay/watch.py
+++ b/src/pollenbay/watch.py
@@ -126,6 +126,8 @@
             with self.watching(watched):
                 return await work
         except ShutdownCancelled:
+            # curio cancels a task once only, and the end of the process has to do it again.
+            watched.task.cancelled = None
             if progress.sent or not progress.cancellable:
                 return Unknown(Reason.CANCELLED)
             return NotRun(Reason.DRAINING)
--- a/tests/slow_reader.py
+++ b/tests/slow_reader.py
@@ -28,6 +28,9 @@
             f"x-pollenbay-request-id: {name}\r\n{lines}\r\n".encode()
         )
 
+    def send_bytes(self, data: bytes) -> None:
+        self._sock.sendall(data)
+
     def read_body(self) -> tuple[int, int]:
         """Return the bytes of the next body that arrive and its stated length.
 
--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -9,6 +9,7 @@
 from harness import Process, Processes, Response, wait_until
 from platform_node import SERVICE, PlatformNode, make_config, make_route
 from pytest import fixture, mark
+from slow_reader import SlowReader
 
 from pollenbay.daemon import EXIT_TASK_FAILED
 
@@ -161,6 +162,20 @@
     node.wait()
 
 
+# A cut call whose client had begun to send the next request kept the process until it was killed.
+def test_half_a_request_behind_a_call_that_is_cut_does_not_hold_up_a_planned_stop(
+    platform: PlatformNode,
+) -> None:
+    node = platform.serve(make_route("/unsafe/", "unsafe", timeout_ms=30_000))
+    client = SlowReader(platform.requests_port)
+    client.request("/unsafe/?work_s=8", "long")
+    wait_until(lambda: platform.has_started("long"), STARTED_WITHIN_S, "the request to run")
+    client.send_bytes(b"POST /unsafe/ HTT")
+    node.terminate()
+    assert node.wait(ENDED_WITHIN_S) == 1
+    assert client.read_body() == (0, 0)
+
+
 # A link whose call was cut by the end of a stop kept the process of the node until it was killed.
 def test_request_of_another_node_that_outlasts_a_planned_stop_does_not_hold_it_up(
     platform: PlatformNode,
