End the process right after its last log line

What callers saw: nothing in our runs. On a platform that kills at the end of the grace period, a stop that has done all its work may still count as killed.

Ruled out: threads, exit handlers, open sockets. From 20 ms around the "stop" line on, probes each 10 ms were refused; of those sent in the 85 ms between the end of the drain and the line, some were reset within 50 ms, unread. So no request is held by a process that will not read it.

Once the loop has returned, nothing is left to do: connections and listeners are closed, log lines are written without a buffer, claims are recorded. So the process flushes its output and ends by `_exit`.

The new test shows `# destroy` of the verbose interpreter before.

--- a/src/pollenbay/daemon.py
+++ b/src/pollenbay/daemon.py
@@ -4,9 +4,11 @@
 from dataclasses import dataclass
 from functools import partial
 from logging import getLogger
+from os import _exit
 from pathlib import Path
 from signal import SIGHUP, SIGINT, SIGTERM
-from sys import exit
+from sys import exit, stderr, stdout
+from typing import NoReturn
 
 import click
 from curio import TaskGroup, run, sleep
@@ -99,7 +101,18 @@
         exit_code = run(
             serve_node, settings.ok_value, path, selector=make_selector(), taskcls=AcyclicTask
         )
-        exit(exit_code)
+        _end_process(exit_code)
+
+
+def _end_process(exit_code: int) -> NoReturn:
+    """End the process at once; all of its connections are closed.
+
+    The interpreter would free its heap object by object first, which may take longer than the rest
+    of the grace period where processor time is scarce.
+    """
+    stdout.flush()
+    stderr.flush()
+    _exit(exit_code)
 
 
 async def serve_node(settings: Settings, path: Path) -> int:
--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -10,7 +10,7 @@
 
 from harness import Processes, send, wait_until
 from platform_node import READY_WITHIN_S, SERVICE, PlatformNode, make_config, make_route
-from pytest import fixture, mark
+from pytest import MonkeyPatch, fixture, mark
 
 EFFECT_WITHIN_S = 5.0
 #: Header lines whose name or value holds a blank or a control character.
@@ -318,6 +318,21 @@
             node.wait()
             assert monotonic() - started_at < 2.0
 
+    # Freeing the heap object by object took over a second beside load, beyond the grace period. The
+    # interpreter tells of it if it is verbose.
+    def test_process_ends_with_its_last_log_line(
+        self, platform: PlatformNode, monkeypatch: MonkeyPatch
+    ) -> None:
+        monkeypatch.setenv("PYTHONVERBOSE", "1")
+        node = platform.serve(make_route("/safe/"))
+        node.terminate()
+        assert node.wait() == 0
+        assert node.log_lines()[-1]["message"] == "stop"
+        output = node.errors()
+        assert "import 'pollenbay.node'" in output
+        assert "# clear sys.modules" not in output
+        assert "# destroy" not in output
+
     # A stop that waited with it ended before a slow store had removed the row, which led new nodes
     # to one that had left.
     def test_row_is_removed_while_the_stopping_node_still_serves(
