--- a/src/pollenbay/pipeline.py
+++ b/src/pollenbay/pipeline.py
@@ -5,6 +5,7 @@
 """
 
 from collections.abc import Awaitable, Callable
+from enum import Enum
 from logging import getLogger
 
 from curio import Event, Task, current_task, spawn
@@ -26,15 +27,30 @@
     """Leave everything as it is at the end of a call."""
 
 
+def _keep_open(response: HttpResponse) -> bool:
+    """Let no response close the connection."""
+    return False
+
+
+class Delivery(Enum):
+    """What became of a response."""
+
+    SENT = "sent"
+    SENT_LAST = "sent-last"
+    NOT_SENT = "not-sent"
+
+
 class Pipeline:
     """Calls of one connection in the order of their requests.
 
-    :param task: task that reads the requests; it is cancelled when the connection must not be used
-        any more.
+    :param task: task that reads the requests; it is cancelled when a response can't be sent.
+    :param closes: returns whether a response, to the last of the calls started, is to close the
+        connection.
     """
 
-    def __init__(self, task: Task) -> None:
+    def __init__(self, task: Task, closes: Callable[[HttpResponse], bool]) -> None:
         self._task = task
+        self._closes = closes
         self._calls: dict[Task, int] = {}
         self._started = 0
         self._turn = 0
@@ -43,7 +59,10 @@
 
     @property
     def closed(self) -> bool:
-        """Return whether the response that closes the connection was sent or can't be sent."""
+        """Return whether the connection ends: no call may be started any more.
+
+        The response that closes it is being sent, was sent or can't be sent.
+        """
         return self._closed
 
     @property
@@ -96,44 +115,44 @@
         self, number: int, pending: PendingResponse, work: Work, on_end: Callable[[], None]
     ) -> None:
         task = await current_task()
-        sent = False
+        delivery = Delivery.NOT_SENT
         try:
             response = await work(task)
             self._calls[task] += len(response.body)
             while self._turn != number:
                 await self._wait_for_change()
-            sent = await self._send(number, pending, response)
+            delivery = await self._send(number, pending, response)
         finally:
             del self._calls[task]
+            self._closed = self._closed or delivery is not Delivery.SENT
             on_end()
             self._turn += 1
-            self._closed = self._closed or not sent
             await self._changed.set()
-            if self._closed:
+            if delivery is Delivery.NOT_SENT:
                 await self._task.cancel(blocking=False)
 
-    async def _send(self, number: int, pending: PendingResponse, response: HttpResponse) -> bool:
-        """Send a response and return whether the connection can be used again.
-
-        What stands behind a response that closes the connection counts as not read by the client,
-        so the connection is closed only if no later call was started.
-        """
+    async def _send(
+        self, number: int, pending: PendingResponse, response: HttpResponse
+    ) -> Delivery:
         if self._closed:
-            return False
-        is_last = number + 1 == self._started
-        if not is_last:
-            response.headers = [pair for pair in response.headers if pair[0] != b"connection"]
+            return Delivery.NOT_SENT
+        if number + 1 == self._started and self._closes(response):
+            self._closed = True
+            response.headers.append((b"connection", b"close"))
         try:
-            return await pending.send(response)
+            if await pending.send(response) and not self._closed:
+                return Delivery.SENT
+            await pending.shut_down()
+            return Delivery.SENT_LAST
         except OSError as error:
             LOG.debug("response not sent", extra={"error": str(error)})
-            return False
+            return Delivery.NOT_SENT
 
     async def _wait_for_change(self) -> None:
         self._changed.clear()
         await self._changed.wait()
 
 
-def make_pipeline(task: Task) -> Pipeline:
+def make_pipeline(task: Task, closes: Callable[[HttpResponse], bool] = _keep_open) -> Pipeline:
     """Return a pipeline without calls."""
-    return Pipeline(task)
+    return Pipeline(task, closes)
--- a/tests/test_platform_memory.py
+++ b/tests/test_platform_memory.py
@@ -4,13 +4,13 @@
 from concurrent.futures import ThreadPoolExecutor
 from contextlib import suppress
 from pathlib import Path
-from re import search
 from socket import create_connection
 from time import sleep
 
-from harness import ADDRESS, Process, Processes, wait_until
+from harness import ADDRESS, Processes, wait_until
 from platform_node import HOST, PlatformNode, make_route
 from pytest import fixture, mark
+from test_hostile_clients import peak_memory_bytes
 
 pytestmark = mark.alone
 
@@ -30,12 +30,6 @@
         yield PlatformNode(processes, tmp_path, {"memory_mb": MEMORY_MB})
 
 
-def highest_memory_mb(node: Process) -> float:
-    """Return the most memory that a process has used, in megabytes."""
-    status = Path(f"/proc/{node.pid}/status").read_text(encoding="ascii")
-    return int(search(r"VmHWM:\s+(\d+) kB", status)[1]) * 1024 / 1e6
-
-
 def leave_uploads(platform: PlatformNode) -> None:
     """Send requests one after another and leave each before its response."""
     head = (
@@ -63,4 +57,4 @@
         SERVES_WITHIN_S,
         "a successful response",
     )
-    assert highest_memory_mb(node) < MEMORY_MB
+    assert peak_memory_bytes(node) < MEMORY_MB * 1e6
