Refuse settings files with scalars that YAML can't convert

What callers saw: nothing yet; found by the review. A hangup with such a file stopped the node, and a change of the file did too. Cause: the YAML library raises ValueError for a scalar that looks like a date or a number and is none, and RecursionError for deep nesting; neither was taken for an unreadable file. Change: both count as an unreadable file, which changes nothing and is logged.

--- a/src/pollenbay/settings.py
+++ b/src/pollenbay/settings.py
@@ -154,7 +154,8 @@
     """Read and validate a settings file."""
     try:
         document = safe_load(path.read_text(encoding="utf-8"))
-    except (OSError, UnicodeDecodeError, YAMLError) as error:
+    except (OSError, ValueError, RecursionError, YAMLError) as error:
+        # A scalar that looks like a date or a number but is none raises ValueError.
         return Err(SettingsUnreadableError(f"{path}: {error}"))
     return parse_settings(document, str(path))
 
--- a/tests/test_reloading.py
+++ b/tests/test_reloading.py
@@ -111,6 +111,21 @@
     assert errors == ["settings not reloaded"]
 
 
+# A scalar that only looks like a date raised an error that stopped the node.
+@mark.parametrize(
+    "text", ["drain_s: 2026-99-99", "drain_s: " + "9" * 5000, "drain_s: " + "[" * 2000]
+)
+def test_file_with_an_odd_scalar_changes_nothing_and_is_logged(
+    text: str, path: Path, caplog: LogCaptureFixture
+) -> None:
+    node = make_plain_node(path)
+    before = node.settings
+    path.write_text(text, encoding="utf-8")
+    reload_settings(node, path)
+    assert node.settings == before
+    assert [each.message for each in caplog.records] == ["settings not reloaded"]
+
+
 @mark.parametrize("make", [make_platform_node, make_plain_node])
 def test_unchanged_file_changes_nothing(make: Callable[[Path], Node], path: Path) -> None:
     node = make(path)
