Catch signals before a node listens, and until its last connection is closed

What callers saw: connections that end without an answer, of what a node had accepted just after its start. Cause: the handlers were set by the last task to start, after the ready line, and set back before the connections were closed. A hangup or the request to stop had its default action until then, which ends the process; while the modules were imported too, where the settings are not read yet anyway.

--- a/src/pollenbay/daemon.py
+++ b/src/pollenbay/daemon.py
@@ -122,12 +122,14 @@
 
     :param path: settings file, which is watched for changes.
     """
-    if settings.platform is None:
-        return await _serve_plain(settings, path)
-    return await _serve_platform(settings, path)
+    # From before the first connection until the last one is closed.
+    with catch_signals(SIGTERM, SIGINT, SIGHUP) as signals:
+        if settings.platform is None:
+            return await _serve_plain(settings, path, signals)
+        return await _serve_platform(settings, path, signals)
 
 
-async def _serve_plain(settings: Settings, path: Path) -> int:
+async def _serve_plain(settings: Settings, path: Path, signals: StopSignals) -> int:
     """Run a node with this project's own interface to callers, targets and table."""
     address, ports = settings.address, settings.ports
     listeners = _listen(settings)
@@ -143,11 +145,11 @@
         accept_streams(plain.outbound, partial(serve_target, node), make_room),
     ]
     return await _run(
-        node, path, listeners, [*tasks, *_common_tasks(node, listeners, adapter)], plain
+        node, path, signals, listeners, [*tasks, *_common_tasks(node, listeners, adapter)], plain
     )
 
 
-async def _serve_platform(settings: Settings, path: Path) -> int:
+async def _serve_platform(settings: Settings, path: Path, signals: StopSignals) -> int:
     """Run a node with the interfaces of the users' platform, whose settings `main` has checked."""
     platform = read_platform_settings(settings).unwrap()
     settings = adapt_settings(settings).unwrap()
@@ -155,12 +157,13 @@
     adapter = make_platform_adapter(platform)
     node = make_node(settings, port_of(listeners.link), adopt, read_current, adapter)
     tasks = [*platform_tasks(node, platform), *_common_tasks(node, listeners, adapter)]
-    return await _run(node, path, listeners, tasks, None)
+    return await _run(node, path, signals, listeners, tasks, None)
 
 
 async def _run(
     node: Node,
     path: Path,
+    signals: StopSignals,
     listeners: Listeners,
     tasks: list[Awaitable[None]],
     plain: PlainListeners | None,
@@ -173,7 +176,7 @@
     async with TaskGroup(wait=any) as group:
         for task in [*tasks, watch_settings(node, path)]:
             await group.spawn(_supervise, node, task, failed)
-        await group.spawn(_stop_on_request, node, path)
+        await group.spawn(_stop_on_request, node, path, signals)
     exit_code = EXIT_TASK_FAILED if failed.is_set() else group.result
     LOG.info("stop", extra={"exit_code": exit_code})
     return exit_code
@@ -224,15 +227,14 @@
     click.echo(encode(ready))
 
 
-async def _stop_on_request(node: Node, path: Path) -> int:
+async def _stop_on_request(node: Node, path: Path, signals: StopSignals) -> int:
     """Wait for a signal or command to stop, drain the node and return the exit code."""
-    with catch_signals(SIGTERM, SIGINT, SIGHUP) as signals:
-        async with TaskGroup(wait=any) as group:
-            await group.spawn(_wait_for_stop, node, path, signals)
-            await group.spawn(node.stopping.wait)
-        async with TaskGroup(wait=any) as group:
-            await group.spawn(_drain, node)
-            await group.spawn(_abort_on_interrupt, node, signals)
+    async with TaskGroup(wait=any) as group:
+        await group.spawn(_wait_for_stop, node, path, signals)
+        await group.spawn(node.stopping.wait)
+    async with TaskGroup(wait=any) as group:
+        await group.spawn(_drain, node)
+        await group.spawn(_abort_on_interrupt, node, signals)
     return group.result
 
 
--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -4,17 +4,23 @@
 from concurrent.futures import Future, ThreadPoolExecutor
 from contextlib import suppress
 from http.client import HTTPException
+from pathlib import Path
+from runpy import run_path
+from signal import SIG_IGN, SIGHUP, getsignal, signal
+from sys import modules
 from time import sleep
+from types import SimpleNamespace
 
 from harness import Process, Processes, Response, wait_until
 from platform_node import SERVICE, PlatformNode, make_config, make_route
-from pytest import fixture, mark
+from pytest import MonkeyPatch, fixture, mark
 from slow_reader import SlowReader
 
 from pollenbay.daemon import EXIT_TASK_FAILED
 
 pytestmark = mark.alone
 
+DEPLOYED_DAEMON = Path(__file__).resolve().parent.parent / "deploy" / "pollenbayd.py"
 CLIENTS = 8
 #: Longer than any machine takes.
 STARTED_WITHIN_S = 60.0
@@ -215,6 +221,33 @@
     assert lines["stop requested"]["signal"] == "SIGTERM"
 
 
+# A signal that came before the handlers were set ended the process at once.
+def test_stop_requested_as_soon_as_the_node_listens_is_a_planned_one(
+    platform: PlatformNode,
+) -> None:
+    platform.publish(make_config(1, make_route("/unsafe/", "unsafe")))
+    for _ in range(5):
+        node = platform.start()
+        node.popen.send_signal(SIGHUP)
+        node.terminate()
+        assert node.wait() == 0
+
+
+# So did a hangup while its modules were imported.
+def test_hangup_is_passed_over_before_the_daemon_is_imported(
+    monkeypatch: MonkeyPatch,
+) -> None:
+    handlers = []
+    daemon = SimpleNamespace(main=lambda: handlers.append(getsignal(SIGHUP)))
+    monkeypatch.setitem(modules, "pollenbay.daemon", daemon)
+    before = getsignal(SIGHUP)
+    try:
+        run_path(str(DEPLOYED_DAEMON))
+    finally:
+        signal(SIGHUP, before)
+    assert handlers == [SIG_IGN]
+
+
 # A task of the node that failed ended the process at once, with all calls in progress.
 def test_request_is_not_lost_when_a_task_of_its_node_fails(platform: PlatformNode) -> None:
     platform.publish(make_config(1, make_route("/unsafe/", "unsafe")))
