Count the pieces of a long reply as signs of life of a link

Callers saw 502 for a download whose reply took more than 1.5 s to cross a link, though bytes of it arrived all the time: the time-out of the link was around the whole message, and the wait for this node's own memory was part of it. The link was closed, all idle links beside it too, and the retry failed alike.

Now the time-out is around each single read, and the wait for memory is bounded by the deadline of the call only. A reply that arrives in one read, as short ones do, still takes one wait, under one time-out where it had one.

--- a/src/pollenbay/commands/calling.py
+++ b/src/pollenbay/commands/calling.py
@@ -52,7 +52,7 @@
 BACKOFF_MAX_S = 0.1
 #: The target's node gets a deadline this much earlier, so that its reply arrives in time.
 RETURN_MARGIN_S = 0.01
-#: A link on which not even a progress message arrives for this time is considered dead.
+#: A link on which nothing arrives for this time, not even a progress message, is considered dead.
 LINK_TIMEOUT_S = 1.5
 
 
@@ -276,30 +276,48 @@
     :raises LinkError: if the link broke, timed out or delivered an unexpected message.
     """
     await link.send(message)
-    last_received_at = node.timer.now()
     while True:
-        reply = await _receive(node, call, link, last_received_at)
+        reply = await _receive(node, call, link)
         if reply.call_id != message.call_id or isinstance(reply, CallMessage):
             raise LinkMessageError("received a message that is not a reply to the pending call")
         if not isinstance(reply, ProgressMessage):
             return reply
-        last_received_at = node.timer.now()
 
 
-async def _receive(node: Node, call: Call, link: Link, last_received_at: float) -> AnyLinkMessage:
-    time_left_s = call.deadline - node.timer.now()
+async def _receive(node: Node, call: Call, link: Link) -> AnyLinkMessage:
+    """Return the next message; each of its pieces is a sign of life of the other node."""
+    link.forget_message()
+    while (message := link.take_message()) is None:
+        if link.needs_memory:
+            await _hold_message(node, call, link)
+        if not await _receive_piece(node, call, link):
+            raise LinkBrokenError("link closed before the reply")
+    return message
+
+
+async def _hold_message(node: Node, call: Call, link: Link) -> None:
+    """Wait for memory, which is no silence of the other node."""
+    if call.sender_enforces_deadline:
+        await link.hold_message()
+        return
+    try:
+        async with timeout_after(max(call.deadline - node.timer.now(), 0.0)):
+            await link.hold_message()
+    except TaskTimeout as error:
+        raise LinkDeadlineError("deadline exceeded while waiting for memory") from error
+
+
+async def _receive_piece(node: Node, call: Call, link: Link) -> bool:
+    started_at = node.timer.now()
+    time_left_s = call.deadline - started_at
     limit_s = min(time_left_s, LINK_TIMEOUT_S) if call.idempotent else time_left_s
     try:
         if call.sender_enforces_deadline and limit_s >= time_left_s:
-            reply = await link.receive()
-        else:
-            async with timeout_after(max(limit_s, 0.0)):
-                reply = await link.receive()
+            return await link.receive_piece()
+        async with timeout_after(max(limit_s, 0.0)):
+            return await link.receive_piece()
     except TaskTimeout as error:
-        idle_s = node.timer.now() - last_received_at
+        idle_s = node.timer.now() - started_at
         if idle_s < LINK_TIMEOUT_S:
             raise LinkDeadlineError("deadline exceeded while waiting for a reply") from error
-        raise LinkTimeoutError(f"no message received for {idle_s:.1f} s") from error
-    if reply is None:
-        raise LinkBrokenError("link closed before the reply")
-    return reply
+        raise LinkTimeoutError(f"nothing received for {idle_s:.1f} s") from error
--- a/src/pollenbay/link.py
+++ b/src/pollenbay/link.py
@@ -87,6 +87,20 @@
         """Return whether the other node has closed the connection."""
         return peer_has_closed(self._sock)
 
+    @property
+    def needs_memory(self) -> bool:
+        """Return whether a long message has begun to arrive for which no memory is held."""
+        if self._holding is None or self._holding.held_bytes:
+            return False
+        length = self._message_length
+        return length is not None and length > SMALL_BODY_MAX_BYTES
+
+    @property
+    def _message_length(self) -> int | None:
+        if len(self._received) < LENGTH_PREFIX.size:
+            return None
+        return int(LENGTH_PREFIX.unpack_from(self._received)[0])
+
     async def send(self, message: AnyLinkMessage) -> None:
         """Send one message.
 
@@ -111,16 +125,47 @@
         :raises LinkMessageError: if the received bytes are not a link message.
         """
         self.forget_message()
-        while True:
-            message = self._decode_buffered()
-            if message is not None:
-                return message
-            if len(self._received) >= LENGTH_PREFIX.size:
-                await self._hold_long_message()
-            data = await self._receive_bytes()
-            if not data:
+        while (message := self.take_message()) is None:
+            if self.needs_memory:
+                await self.hold_message()
+            if not await self.receive_piece():
                 return None
-            self._received += data
+        return message
+
+    def take_message(self) -> AnyLinkMessage | None:
+        """Return the next message if all of it has been received.
+
+        :raises LinkMessageError: if the received bytes are not a link message.
+        """
+        length = self._message_length
+        if length is None:
+            return None
+        if length > MESSAGE_LIMIT_BYTES:
+            raise LinkMessageError(f"message too long: {length} bytes")
+        received, end = self._received, LENGTH_PREFIX.size + length
+        if len(received) < end:
+            return None
+        with memoryview(received) as view, view[LENGTH_PREFIX.size : end] as data:
+            message = _decode(data)
+        del received[:end]
+        return message
+
+    async def hold_message(self) -> None:
+        """Wait until there is memory for the long message that has begun to arrive."""
+        if self._holding is not None and self._message_length is not None:
+            await wait_to_hold(self._holding, self._message_length)
+
+    async def receive_piece(self) -> bool:
+        """Wait for bytes and return whether any came; none when the other node has closed.
+
+        :raises LinkBrokenError: if the connection broke.
+        """
+        try:
+            data = await receive(self._sock, RECEIVE_BYTES)
+        except OSError as error:
+            raise LinkBrokenError(str(error)) from error
+        self._received += data
+        return bool(data)
 
     def send_progress(self, call_id: CallId) -> bool:
         """Send a progress message without waiting and return whether the connection is usable.
@@ -146,34 +191,6 @@
         if self._holding is not None:
             release(self._holding)
 
-    async def _hold_long_message(self) -> None:
-        if self._holding is None:
-            return
-        (length,) = LENGTH_PREFIX.unpack_from(self._received)
-        if length > SMALL_BODY_MAX_BYTES and not self._holding.held_bytes:
-            await wait_to_hold(self._holding, length)
-
-    def _decode_buffered(self) -> AnyLinkMessage | None:
-        received = self._received
-        if len(received) < LENGTH_PREFIX.size:
-            return None
-        (length,) = LENGTH_PREFIX.unpack_from(received)
-        if length > MESSAGE_LIMIT_BYTES:
-            raise LinkMessageError(f"message too long: {length} bytes")
-        end = LENGTH_PREFIX.size + length
-        if len(received) < end:
-            return None
-        with memoryview(received) as view, view[LENGTH_PREFIX.size : end] as data:
-            message = _decode(data)
-        del received[:end]
-        return message
-
-    async def _receive_bytes(self) -> bytes:
-        try:
-            return await receive(self._sock, RECEIVE_BYTES)
-        except OSError as error:
-            raise LinkBrokenError(str(error)) from error
-
 
 class LinkPool:
     """Idle links to other nodes, by address.
