Test more that may stand behind a call that a stop cuts

Cause: the review saw the same hang with half a body and with a whole request behind the call. Change: both are cases of the test.

--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -169,14 +169,24 @@
 
 
 # A cut call whose client had begun to send the next request kept the process until it was killed.
-def test_half_a_request_behind_a_call_that_is_cut_does_not_hold_up_a_planned_stop(
-    platform: PlatformNode,
+@mark.parametrize(
+    "behind",
+    [
+        b"POST /unsafe/ HTT",
+        b"POST /unsafe/ HTTP/1.1\r\nhost: x\r\ncontent-length: 9\r\n\r\nhalf",
+        b"GET /safe/ HTTP/1.1\r\nhost: shop.example\r\nx-pollenbay-request-id: behind\r\n\r\n",
+    ],
+    ids=["half-a-head", "half-a-body", "whole"],
+)
+def test_request_behind_a_call_that_is_cut_does_not_hold_up_a_planned_stop(
+    platform: PlatformNode, behind: bytes
 ) -> None:
-    node = platform.serve(make_route("/unsafe/", "unsafe", timeout_ms=30_000))
+    safe = make_route("/safe/")
+    node = platform.serve(make_route("/unsafe/", "unsafe", timeout_ms=30_000), safe)
     client = SlowReader(platform.requests_port)
     client.request("/unsafe/?work_s=8", "long")
     wait_until(lambda: platform.has_started("long"), STARTED_WITHIN_S, "the request to run")
-    client.send_bytes(b"POST /unsafe/ HTT")
+    client.send_bytes(behind)
     node.terminate()
     assert node.wait(ENDED_WITHIN_S) == 1
     assert client.read_body() == (0, 0)
