--- a/src/standins/instance.py
+++ b/src/standins/instance.py
@@ -116,6 +116,7 @@
     :param deadline_ms: value of the deadline header; 0 without one.
     :param body: beginning of the body.
     :param started_at: monotonic seconds at which it started to run.
+    :param ended_at: monotonic seconds at which its response was ready; 0 before.
     """
 
     name: str
@@ -126,6 +127,7 @@
     deadline_ms: float
     body: str
     started_at: float
+    ended_at: float = 0.0
 
 
 class ExecutedRequests(Struct):
@@ -168,11 +170,12 @@
         fault = _fault_of(query, self._name)
         if fault in REFUSALS:
             return await server.write_response(HttpResponse(503, [echo, (NOT_RUN_HEADER, b"1")]))
-        self._record(request)
+        executed = self._record(request)
         await sleep(float(query.get("work_s", ["0"])[0]))
+        executed.ended_at = monotonic()
         return await self._respond_with_fault(sock, server, request, fault)
 
-    def _record(self, request: HttpRequest) -> None:
+    def _record(self, request: HttpRequest) -> ExecutedRequest:
         def value(name: bytes) -> str:
             return (header_value(request.headers, name) or b"").decode("latin-1")
 
@@ -187,6 +190,7 @@
             started_at=monotonic(),
         )
         self._executed.append(executed)
+        return executed
 
     async def _respond_with_fault(
         self, sock: Socket, server: HttpServer, request: HttpRequest, fault: ResponseFault
--- a/tests/harness.py
+++ b/tests/harness.py
@@ -33,8 +33,10 @@
 POLL_S = 0.05
 PORTS = range(10_000, 30_000)
 #: Ports that a process keeps for itself, more than one test uses.
-RESERVED_PORTS = 200
+RESERVED_PORTS = 400
 SOURCE = Path(__file__).resolve().parent.parent / "src"
+#: Source of the product under test, if it is that of another commit; stand-ins are always our own.
+PRODUCT_SOURCE = Path(os.environ.get("PRODUCT_SOURCE", SOURCE))
 
 T = TypeVar("T")
 
@@ -154,13 +156,14 @@
     def spawn(self, name: str, module: str, *arguments: str) -> Process:
         """Start ``python -m module`` without waiting."""
         error_path = self._folder / f"{name}-{len(self._started)}.err"
+        source = PRODUCT_SOURCE if module.startswith("pollenbay.") else SOURCE
         with error_path.open("wb") as error_file:
             popen = subprocess.Popen(
                 [sys.executable, "-m", module, *arguments],
                 stdin=subprocess.DEVNULL,
                 stdout=subprocess.PIPE,
                 stderr=error_file,
-                env={**os.environ, "PYTHONPATH": str(SOURCE)},
+                env={**os.environ, "PYTHONPATH": str(source)},
             )
         process = Process(name, popen, error_path)
         self._started.append(process)
--- a/tests/platform_node.py
+++ b/tests/platform_node.py
@@ -10,6 +10,8 @@
 SERVICE = "stock"
 HOST = "shop.example"
 READY_WITHIN_S = 10.0
+CAPACITY = 20
+GRACE_S = 2.0
 
 
 def make_config(
@@ -49,6 +51,7 @@
     :param limits: resource limits in the settings of the node.
     :param number: number of the node in its name.
     :param store: store of the other nodes; by default a new one.
+    :param capacity: slots of the instance, as in its check-ins.
     """
 
     def __init__(
@@ -60,6 +63,8 @@
         number: int = 1,
         service: str = SERVICE,
         store: Process | None = None,
+        capacity: int = CAPACITY,
+        grace_s: float = GRACE_S,
     ) -> None:
         self._processes = processes
         self._folder = folder
@@ -67,6 +72,8 @@
         self._name = f"node-{number}"
         self._service = service
         self._target = f"i-{number}"
+        self._capacity = capacity
+        self._grace_s = grace_s
         self.store = store or processes.start("store", "standins.metadata")
         self.instance = processes.start("instance", "standins.instance", "--name", self._target)
         self.requests_port = free_port()
@@ -91,7 +98,7 @@
                 "readiness": f"{ADDRESS}:{self.readiness_port}",
                 "check_ins": f"{ADDRESS}:{self.check_ins_port}",
                 "check_in_ms": 1500,
-                "bounds": {"grace_s": 2, "closed": True},
+                "bounds": {"grace_s": self._grace_s, "closed": True},
             },
         }
 
@@ -115,10 +122,25 @@
         """Wait until the node is ready."""
         wait_until(lambda: self.readiness_status() == 200, READY_WITHIN_S, "the node to be ready")
 
-    def add_node(self, service: str) -> "PlatformNode":
-        """Return a second node, of another service, at the same store; it has not been started."""
+    def add_node(self, service: str, number: int = 2, **options: Any) -> "PlatformNode":
+        """Return a further node at the same store; it has not been started."""
         return PlatformNode(
-            self._processes, self._folder, number=2, service=service, store=self.store
+            self._processes,
+            self._folder,
+            number=number,
+            service=service,
+            store=self.store,
+            **options,
+        )
+
+    def replace_instance(self) -> None:
+        """End the instance and start another one, with another name, at its address."""
+        port = self.instance.port
+        self.instance.kill()
+        self._target += "b"
+        self._seq = 0
+        self.instance = self._processes.start(
+            "instance", "standins.instance", "--name", self._target, "--port", str(port)
         )
 
     def publish(self, document: bytes) -> None:
@@ -137,7 +159,12 @@
         self._seq += 1
         document = {
             "address": f"{ADDRESS}:{self.instance.port}",
-            "info": {"service": self._service, "version": "v1", "zone": "z1", "capacity": 20},
+            "info": {
+                "service": self._service,
+                "version": "v1",
+                "zone": "z1",
+                "capacity": self._capacity,
+            },
             "status": {"state": state, "seq": self._seq, "warmup_left_ms": 0},
             "born": 1,
         }
--- /dev/null
+++ b/tests/test_overlapping_stops_soak.py
@@ -0,0 +1,464 @@
+"""Stops that overlap, beside clients on kept connections: no request that was accepted is lost.
+
+What counts as lost follows the platform's rule LOST, see `StopsSoak._excuse`. `SEEDS=100-149` sets
+the seeds of a long run, `SOAK_NODES=70` the number of nodes, and `PRODUCT_SOURCE=DIR` runs the
+nodes from the source folder of another commit. ``soak.txt`` and ``nodes.jsonl`` in the folder of
+the test hold what was seen and the log lines of all nodes.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+from collections import Counter, defaultdict
+from contextlib import suppress
+from dataclasses import asdict, dataclass
+from enum import Enum
+from functools import partial
+from pathlib import Path
+from random import Random
+from signal import SIGHUP, SIGTERM, Signals
+from threading import Thread
+from time import monotonic, sleep, time
+from typing import Any
+
+import yaml
+from harness import HarnessError, Process, Processes, wait_until
+from platform_node import PlatformNode, make_config, make_route
+from pytest import mark
+from soak_client import Ending, SoakRequest, send_in_turn
+from soak_platform import CHECK_IN_PERIOD_S, NOT_RUN_STATUSES, PlatformSoak
+from test_store_soak import seeds
+
+pytestmark = mark.alone
+
+#: Seeds of a run in CI, each with what was lost while its cause stood.
+CI_SEEDS = (1,)
+ROUNDS = 2
+READY_WITHIN_S = 30.0
+SERVICES = ("stock", "other", "third")
+SLOTS = (3, 6, 10)
+#: Bounds of the platform, as its sites have them.
+GRACE_S = 6.0
+LOSS_SLACK_S = 0.2
+DRAIN_S = 2.0
+#: A request that is sent this long after SIGTERM has to be answered within the grace period.
+SENT_LATE_S = 3.0
+#: Deadlines of clients, all below the time-out of the routes.
+WAITS_S = (2.0, 4.0, 5.5)
+ROUTE_TIMEOUT_MS = 6000
+#: Work that ends within a stop in whose first `LEAVE_S` it begins.
+LONG_WORK_S = 2.6
+#: Work of a stop's length, only where client and instance are on the same machine.
+OVERLONG_WORK_S = 6.0
+SLACK_S = 0.1
+#: Length of the message of a failure; ``soak.txt`` has all.
+LINES_MAX_BYTES = 6000
+
+
+class Change(Enum):
+    """What happens to a node or to all of them."""
+
+    STOP = "stop"
+    RELOAD = "reload"
+    REWRITE = "rewrite"
+    PUBLISH = "publish"
+    REPLACE = "replace"
+
+
+@dataclass(frozen=True, slots=True)
+class Step:
+    """A change of a round, with all that is left to chance.
+
+    :param after_s: seconds from the begin of the round.
+    :param signals: further signals, by the seconds after the change.
+    :param pause_s: seconds until the next process starts.
+    """
+
+    change: Change
+    node: str
+    after_s: float
+    signals: tuple[tuple[float, Signals], ...] = ()
+    pause_s: float = 0.0
+
+    def __str__(self) -> str:
+        more = "".join(f" +{after_s:.2f} {each.name}" for after_s, each in self.signals)
+        return f"{self.after_s:.2f} {self.change.value} {self.node}{more}"
+
+
+class StopsSoak(PlatformSoak):
+    """Nodes of a few services, some with two instances, and many clients at all nodes.
+
+    :param seed: seed of all choices.
+    """
+
+    def __init__(self, processes: Processes, folder: Path, seed: int) -> None:
+        self._random = Random(seed)
+        self._folder = folder
+        self._requests: list[SoakRequest] = []
+        self._terms: dict[str, list[float]] = defaultdict(list)
+        self._other_changes: list[tuple[float, str]] = []
+        self._past_runs: dict[str, list[dict[str, Any]]] = defaultdict(list)
+        self._lines: list[tuple[str, bytes]] = []
+        self._readers: list[Thread] = []
+        self._version = 1
+        count = int(os.environ.get("SOAK_NODES", self._random.randint(3, 5)))
+        self._clients = self._random.randint(20, 60)
+        services = SERVICES[: 2 if count == 3 else 3]
+        self._configured = services + ("fourth", "fifth")[: self._random.randint(0, 2)]
+        self._services = {f"node-{each}": services[each % len(services)] for each in range(count)}
+        nodes = self._make_nodes(processes, folder)
+        super().__init__(nodes)
+        self._single = [
+            name
+            for name, service in self._services.items()
+            if list(self._services.values()).count(service) == 1
+        ]
+        next(iter(nodes.values())).publish(self._config())
+        self._processes = {name: self._start(name) for name in nodes}
+        for name, node in nodes.items():
+            node.wait_ready()
+            assert node.check_in(born=self._born[name]).status == 200
+
+    def _make_nodes(self, processes: Processes, folder: Path) -> dict[str, PlatformNode]:
+        nodes: dict[str, PlatformNode] = {}
+        for number, (name, service) in enumerate(self._services.items()):
+            capacity = self._random.choice(SLOTS)
+            options: dict[str, Any] = {"capacity": capacity, "grace_s": GRACE_S}
+            first = next(iter(nodes.values()), None)
+            if first is None:
+                nodes[name] = PlatformNode(
+                    processes, folder, number=number, service=service, **options
+                )
+            else:
+                nodes[name] = first.add_node(service, number, **options)
+        return nodes
+
+    def run(self) -> None:
+        """Make a few rounds of changes beside the clients."""
+        names = list(self._nodes)
+        work = []
+        for _ in range(self._clients):
+            random = Random(self._random.random())
+            entry = random.choice(names)
+            port = self._nodes[entry].requests_port
+            draw = partial(self._draw, entry)
+            work.append(partial(send_in_turn, port, random, draw, self._over.is_set))
+        with self.running(*work):
+            sleep(1.0)
+            for _ in range(ROUNDS):
+                self._run_round([self._draw_step(each) for each in self._draw_changes()])
+        for process in self._processes.values():
+            process.terminate()
+        for process in self._processes.values():
+            process.wait()
+        for reader in self._readers:
+            reader.join()
+
+    def _draw_changes(self) -> list[Change]:
+        stops = self._random.randint(1, len(self._nodes))
+        others = [each for each in Change if each is not Change.STOP]
+        more = self._random.choices(others, k=self._random.randint(1, 4))
+        return [Change.STOP] * stops + more
+
+    def _draw_step(self, change: Change) -> Step:
+        random = self._random
+        node = random.choice(list(self._nodes))
+        moment = random.choice([random.uniform(0.0, 2.0), random.uniform(0.0, 8.0)])
+        signals: tuple[tuple[float, Signals], ...] = ()
+        if change is Change.STOP:
+            signals = tuple(
+                (random.uniform(-0.5, GRACE_S), random.choice([SIGTERM, SIGTERM, SIGHUP]))
+                for _ in range(random.randint(0, 3))
+            )
+        return Step(change, node, moment, signals, random.uniform(0.0, 1.5))
+
+    def _run_round(self, steps: list[Step]) -> None:
+        stopping: set[str] = set()
+        kept = []
+        for step in steps:
+            is_repeated = step.node in stopping and step.change in (Change.STOP, Change.REPLACE)
+            if not is_repeated:
+                kept.append(step)
+            if step.change in (Change.STOP, Change.REPLACE):
+                stopping.add(step.node)
+        self._log += [str(step) for step in kept]
+        threads = [Thread(target=self._make_change, args=(step,)) for step in kept]
+        for thread in threads:
+            thread.start()
+        for thread in threads:
+            thread.join()
+        sleep(0.5)
+
+    def _make_change(self, step: Step) -> None:
+        sleep(step.after_s)
+        match step.change:
+            case Change.STOP:
+                self._stop(step)
+            case Change.RELOAD:
+                self._reload(step.node)
+            case Change.REWRITE:
+                self._rewrite(step.node)
+            case Change.PUBLISH:
+                self._publish()
+            case Change.REPLACE:
+                self._replace(step.node)
+
+    def _stop(self, step: Step) -> None:
+        process = self._processes[step.node]
+        before = [each for each in step.signals if each[0] < 0.0 and each[1] is SIGHUP]
+        after = sorted(each for each in step.signals if each[0] >= 0.0)
+        for after_s, _ in before:
+            self._reload(step.node)
+            sleep(-after_s)
+        begins_at = monotonic()
+        self._terms[step.node].append(begins_at)
+        process.terminate()
+        for after_s, number in after:
+            with suppress(HarnessError):
+                process.wait(max(begins_at + after_s - monotonic(), 0.0))
+            with suppress(OSError):
+                process.popen.send_signal(number)
+        try:
+            process.wait(max(begins_at + GRACE_S - monotonic(), 0.0))
+        except HarnessError:
+            self._log.append(f"{step.node} killed at the end of the grace period")
+            process.kill()
+        sleep(step.pause_s)
+        self._processes[step.node] = self._start(step.node)
+        self._nodes[step.node].wait_ready()
+
+    def _reload(self, name: str) -> None:
+        with suppress(OSError):
+            self._processes[name].popen.send_signal(SIGHUP)
+        self._other_changes.append((monotonic(), f"SIGHUP {name}"))
+
+    def _rewrite(self, name: str) -> None:
+        settings = self._nodes[name].settings()
+        with self._lock:
+            settings["platform"]["check_in_ms"] += len(self._other_changes) % 3
+        text = yaml.safe_dump(settings, sort_keys=False)
+        self._nodes[name].settings_path.write_text(text, encoding="utf-8")
+        self._other_changes.append((monotonic(), f"settings {name}"))
+
+    def _publish(self) -> None:
+        with self._lock:
+            self._version += 1
+            document = self._config()
+        next(iter(self._nodes.values())).publish(document)
+        self._other_changes.append((monotonic(), f"r{self._version}"))
+
+    def _replace(self, name: str) -> None:
+        """Let the instance of a node leave, and another one come in its place."""
+        node = self._nodes[name]
+        self._leaving.add(name)
+        sleep(2 * CHECK_IN_PERIOD_S)
+        with suppress(OSError):
+            self._drain(name)
+        sleep(DRAIN_S + 0.5)
+        with suppress(OSError):
+            node.send_departure()
+        wait_until(lambda: all(run["ended_at"] for run in node.runs()), 20.0, "the work to end")
+        sleep(CHECK_IN_PERIOD_S)
+        self._past_runs[name] += node.runs()
+        node.replace_instance()
+        self._born[name] = int(time() * 1000)
+        self._leaving.discard(name)
+        self._other_changes.append((monotonic(), f"replaced the instance of {name}"))
+
+    def _config(self) -> bytes:
+        """Return the next configuration; the time-outs of its routes differ."""
+        routes = [
+            make_route(
+                f"/{kind}-{service}/",
+                kind,
+                service=service,
+                timeout_ms=ROUTE_TIMEOUT_MS + self._version,
+            )
+            for service in SERVICES
+            if service in self._configured
+            for kind in ("safe", "unsafe")
+        ]
+        return make_config(self._version, *routes, services=self._configured)
+
+    def _start(self, name: str) -> Process:
+        process = self._nodes[name].start()
+        reader = Thread(target=self._read_log, args=(name, process))
+        reader.start()
+        self._readers.append(reader)
+        return process
+
+    def _read_log(self, name: str, process: Process) -> None:
+        for line in process.popen.stdout:
+            self._lines.append((name, line))
+
+    def _draw(self, entry: str, random: Random) -> list[SoakRequest]:
+        """Return the next requests of a client, which are pipelined if they are several."""
+        number = random.choice([1, 1, 1, 1, 1, 1, 2, 3])
+        batch = [self._draw_request(entry, random) for _ in range(number)]
+        for request in batch:
+            request.pipelined = number > 1
+        with self._lock:
+            self._requests += batch
+        return batch
+
+    def _draw_request(self, entry: str, random: Random) -> SoakRequest:
+        request = SoakRequest(
+            name=f"soak-{next(self._numbers)}",
+            entry=entry,
+            service=random.choice(sorted(set(self._services.values()))),
+            safe=random.random() < 0.4,
+            wait_s=random.choice(WAITS_S),
+            work_s=random.choice(
+                [
+                    random.uniform(0.0, 0.3),
+                    random.uniform(0.0, 0.3),
+                    random.uniform(0.3, 1.2),
+                    random.uniform(1.2, LONG_WORK_S),
+                ]
+            ),
+        )
+        kind = random.random()
+        if kind < 0.1:
+            request.answer_bytes = random.choice([500_000, 4_000_000])
+            request.work_s, request.read_s = 0.1, random.uniform(0.3, 2.0)
+        elif kind < 0.25 and not request.safe:
+            request.body = request.name.encode("ascii") * random.choice([4, 400])
+            request.chunked = True
+        elif kind < 0.35 and entry in self._single:
+            request.service = self._services[entry]
+            request.work_s, request.wait_s = (
+                random.uniform(LONG_WORK_S, OVERLONG_WORK_S),
+                WAITS_S[-1],
+            )
+        return request
+
+    def check(self) -> None:
+        """Check what clients and instances saw, and write what was lost."""
+        runs: dict[str, list[dict[str, Any]]] = defaultdict(list)
+        for name, node in self._nodes.items():
+            for run in self._past_runs[name] + node.runs():
+                runs[run["name"]].append({**run, "node": name})
+        faults = [
+            self._describe(request, what, runs[request.name])
+            for request in self._requests
+            if (what := self._fault_of(request, runs[request.name]))
+        ]
+        summary = self._summary(runs)
+        causes = Counter(fault.partition(":")[0] for fault in faults)
+        summary += "\n" + ", ".join(f"{count} {cause}" for cause, count in causes.items())
+        text = "\n\n".join([summary, ", ".join(self._log), *faults])
+        (self._folder / "soak.txt").write_text(text, encoding="utf-8")
+        lines = [json.dumps([name, line.decode()]) for name, line in self._lines]
+        (self._folder / "nodes.jsonl").write_text("\n".join(lines), encoding="utf-8")
+        assert sum(request.answered for request in self._requests) > self._clients
+        assert not faults, text[:LINES_MAX_BYTES]
+
+    def _fault_of(self, request: SoakRequest, runs: list[dict[str, Any]]) -> str | None:
+        """Return what a request shows that must not be, if anything."""
+        if not request.safe and len(runs) > 1:
+            return "ran twice"
+        if not request.safe and runs and request.status in NOT_RUN_STATUSES:
+            return "ran though it was refused as not run"
+        if request.answered and not request.owns_answer:
+            return "wrong answer"
+        if any(run["body"] != request.body.decode("ascii") for run in runs):
+            return "wrong body at the instance"
+        if request.answered or request.written_at > request.ended_at:
+            return None
+        if not runs and (request.whole or not self._was_read(request)):
+            return None
+        if self._is_excused(request, runs):
+            return None
+        if request.whole:
+            return f"lost, answered {request.status} instead"
+        if request.status is not None:
+            return "lost in the middle of the answer"
+        return "lost, closed" if runs else "lost, read but not passed on"
+
+    def _was_read(self, request: SoakRequest) -> bool:
+        """Return whether the end of a connection shows that the node had read a request.
+
+        A process that ends with unread bytes resets the connection, and a request that crosses the
+        close does not count.
+        """
+        if request.status is not None:
+            return True
+        waited_s = request.ended_at - request.written_at
+        return request.ending is Ending.CLOSED and waited_s > LOSS_SLACK_S
+
+    def _is_excused(self, request: SoakRequest, runs: list[dict[str, Any]]) -> bool:
+        """Return whether a request may have no whole answer, after the rule LOST.
+
+        - The deadline or the time-out of the route was reached; the former comes first here.
+        - The instance was still at work in the last sixth of the grace period, counted from the
+          SIGTERM of the machine that took the request, no later than 3 s after which it was sent.
+        - The instance broke off: none does here.
+        """
+        if request.ended_at - request.sent_at >= request.wait_s - SLACK_S:
+            return True
+        for term_at in self._terms[request.entry]:
+            last_sixth_at = term_at + GRACE_S * 5 / 6
+            is_of_this_stop = request.ended_at >= last_sixth_at - SLACK_S
+            is_sent_in_time = term_at - GRACE_S < request.sent_at <= term_at + SENT_LATE_S
+            at_work = any(
+                run["started_at"] < term_at + GRACE_S
+                and (not run["ended_at"] or run["ended_at"] >= last_sixth_at)
+                for run in runs
+            )
+            if is_of_this_stop and is_sent_in_time and at_work:
+                return True
+        return False
+
+    def _describe(self, request: SoakRequest, what: str, runs: list[dict[str, Any]]) -> str:
+        """Return all that is known of a request, with times relative to its sending."""
+        since = request.sent_at
+        terms = {
+            name: [round(at - since, 3) for at in times if -20.0 < at - since < 10.0]
+            for name, times in self._terms.items()
+        }
+        changes = [
+            (round(at - since, 3), name)
+            for at, name in self._other_changes
+            if -10.0 < at - since < 10.0
+        ]
+        seen = {
+            name: value
+            for name, value in asdict(request).items()
+            if name not in ("body", "body_of_answer")
+        }
+        seen["written_after_s"] = round(request.written_at - since, 3)
+        seen["ended_after_s"] = round(request.ended_at - since, 3)
+        seen["received_bytes"] = len(request.body_of_answer)
+        ran = [
+            (
+                run["node"],
+                round(run["started_at"] - since, 3),
+                round(run["ended_at"] - since, 3) if run["ended_at"] else "at work",
+            )
+            for run in runs
+        ]
+        needle = f'"{request.name}"'.encode("ascii")
+        lines = [
+            f"  {name} {line.decode().strip()}" for name, line in self._lines if needle in line
+        ]
+        return "\n".join(
+            [f"{what}: {seen}", f"  runs {ran}", f"  SIGTERM {terms}", f"  {changes}", *lines]
+        )
+
+    def _summary(self, runs: dict[str, list[dict[str, Any]]]) -> str:
+        statuses: dict[str, int] = defaultdict(int)
+        for request in self._requests:
+            ran = "ran" if runs[request.name] else "not run"
+            statuses[f"{request.status} {ran} {request.ending and request.ending.value}"] += 1
+        nodes, clients = len(self._nodes), self._clients
+        return f"{nodes} nodes, {clients} clients, {self._services}: {dict(statuses)}"
+
+
+# Guards calls that begin late in a stop, stops that are requested again and responses being sent.
+@mark.parametrize("seed", seeds(CI_SEEDS))
+def test_no_accepted_request_is_lost_beside_overlapping_stops(tmp_path, seed: int) -> None:
+    with Processes(tmp_path) as processes:
+        soak = StopsSoak(processes, tmp_path, seed)
+        soak.run()
+        soak.check()
--- a/tests/test_stop_soak.py
+++ b/tests/test_stop_soak.py
@@ -8,22 +8,21 @@
 from __future__ import annotations
 
 from collections import Counter
-from collections.abc import Iterator
-from contextlib import contextmanager, suppress
+from contextlib import AbstractContextManager, suppress
 from dataclasses import dataclass
 from enum import Enum
 from functools import partial
 from http.client import HTTPConnection, HTTPException
-from itertools import count
 from math import inf
 from random import Random
 from signal import SIGHUP
-from threading import Event, Lock, Thread
+from threading import Thread
 from time import monotonic, sleep, time
 
-from harness import ADDRESS, Process, Processes, Response, wait_until
+from harness import ADDRESS, Process, Processes, wait_until
 from platform_node import HOST, PlatformNode, make_route
 from pytest import mark
+from soak_platform import CHECK_IN_PERIOD_S, NOT_RUN_STATUSES, PlatformSoak
 from test_store_soak import seeds
 
 pytestmark = mark.alone
@@ -39,7 +38,6 @@
 ROUTE_TIMEOUT_S = 1.5
 #: Work that ends within a stop if it was accepted in time.
 WORK_MAX_S = 0.3
-CHECK_IN_PERIOD_S = 0.3
 #: Moments of a planned stop with the grace period of 2 s.
 LEAVE_S = 0.8
 CUT_S = 1.3
@@ -108,8 +106,8 @@
         return sent.service == self.service and self.begins_at < sent.sent_at < self.last_sent_at
 
 
-class StopSoak:
-    """Two nodes of different services, whose instances and clients outlive their processes.
+class StopSoak(PlatformSoak):
+    """Two nodes of different services.
 
     :param seed: seed of all choices.
     """
@@ -118,18 +116,12 @@
         self._random = Random(seed)
         #: Choices that were added later; those of `_random` stay the same for a seed.
         self._leaving_random = Random(f"{seed}/leaving")
-        self._log: list[str] = []
         self._sent: list[Sent] = []
         self._interrupted: list[Interrupted] = []
         self._gone: list[Gone] = []
-        self._numbers = count()
-        self._lock = Lock()
-        self._over = Event()
         home = PlatformNode(processes, folder)
         other = home.add_node("other")
-        self._nodes = {"stock": home, "other": other}
-        self._born = {service: int(time() * 1000) for service in self._nodes}
-        self._leaving: set[str] = set()
+        super().__init__({"stock": home, "other": other})
         routes = [
             make_route(f"/{service}/", "unsafe", service=service, timeout_ms=1500)
             for service in self._nodes
@@ -139,27 +131,12 @@
             "other": other.start(),
         }
 
-    @property
-    def log(self) -> str:
-        """Return the steps so far."""
-        return ", ".join(self._log)
-
-    @contextmanager
-    def clients(self) -> Iterator[None]:
+    def clients(self) -> AbstractContextManager[None]:
         """Let clients and instances run beside the block."""
-        workers = [Thread(target=self._check_in)]
-        workers += [
-            Thread(target=self._send_in_turn, args=(Random(self._random.random()),))
-            for _ in range(CLIENTS)
-        ]
-        for worker in workers:
-            worker.start()
-        try:
-            yield
-        finally:
-            self._over.set()
-            for worker in workers:
-                worker.join()
+        seeds_of_clients = [self._random.random() for _ in range(CLIENTS)]
+        return self.running(
+            *(partial(self._send_in_turn, Random(each)) for each in seeds_of_clients)
+        )
 
     def run_round(self) -> None:
         """Make a few changes, in series or overlapping, and wait until all are over."""
@@ -230,7 +207,7 @@
         for sent in self._sent:
             ran = runs[sent.name]
             assert ran <= 1, sent
-            if sent.status in (429, 503, 421, 408):
+            if sent.status in NOT_RUN_STATUSES:
                 assert not ran, sent
             if ran and sent.status != 200:
                 timed_out = sent.ended_at - sent.sent_at >= sent.wait_s - SLACK_S
@@ -241,9 +218,6 @@
             for run in self._nodes[gone.service].runs():
                 assert not gone.begins_at < run["started_at"] < gone.ends_at, run
 
-    def _drain(self, service: str) -> Response:
-        return self._nodes[service].check_in("draining", born=self._born[service])
-
     def _interrupt(self, service: str, kind: Interruption) -> None:
         process = self._processes[service]
         interrupted = Interrupted(kind, monotonic())
@@ -270,13 +244,6 @@
             with suppress(OSError):
                 process.popen.send_signal(SIGHUP)
 
-    def _check_in(self) -> None:
-        while not self._over.wait(CHECK_IN_PERIOD_S):
-            for service, node in self._nodes.items():
-                if service not in self._leaving:
-                    with suppress(OSError, HTTPException):
-                        node.check_in(born=self._born[service])
-
     def _send_in_turn(self, random: Random) -> None:
         node = self._nodes[random.choice(list(self._nodes))]
         connection = HTTPConnection(ADDRESS, node.requests_port, timeout=READY_WITHIN_S)
