--- a/tests/soak_client.py
+++ b/tests/soak_client.py
@@ -206,9 +206,12 @@
     random: Random,
     draw: Callable[[Random], list[SoakRequest]],
     is_over: Callable[[], bool],
+    slow: bool,
 ) -> None:
-    """Send what is drawn on kept connections, each until the node closes it, until it is over."""
-    slow = random.random() < 0.3
+    """Send what is drawn on kept connections, each until the node closes it, until it is over.
+
+    :param slow: as of `KeptConnection`.
+    """
     while not is_over():
         try:
             connection = KeptConnection(port, slow)
--- a/tests/test_overlapping_stops_soak.py
+++ b/tests/test_overlapping_stops_soak.py
@@ -38,7 +38,6 @@
 ROUNDS = 2
 READY_WITHIN_S = 30.0
 SERVICES = ("stock", "other", "third")
-SLOTS = (3, 6, 10)
 #: Bounds of the platform, as its sites have them.
 GRACE_S = 6.0
 LOSS_SLACK_S = 0.2
@@ -67,6 +66,16 @@
     REPLACE = "replace"
 
 
+class Load(Enum):
+    """What the clients of a run ask for, so that no cause of losses hides another."""
+
+    MIXED = "mixed"
+    #: Instances with one slot or two and long work, so that calls wait.
+    CROWDED = "crowded"
+    #: Many long answers, which are read slowly.
+    SLOW_READS = "slow-reads"
+
+
 @dataclass(frozen=True, slots=True)
 class Step:
     """A change of a round, with all that is left to chance.
@@ -87,6 +96,11 @@
         return f"{self.after_s:.2f} {self.change.value} {self.node}{more}"
 
 
+SLOTS = {Load.MIXED: (3, 6, 10), Load.CROWDED: (1, 2), Load.SLOW_READS: (3, 6, 10)}
+#: Ratio of requests with a long answer.
+LONG_ANSWERS = {Load.MIXED: 0.1, Load.CROWDED: 0.05, Load.SLOW_READS: 0.5}
+
+
 class StopsSoak(PlatformSoak):
     """Nodes of a few services, some with two instances, and many clients at all nodes.
 
@@ -108,6 +122,7 @@
         self._pipelines = self._random.random() < 0.5
         count = int(os.environ.get("SOAK_NODES", self._random.randint(3, 5)))
         self._clients = self._random.randint(20, 60)
+        self._load = Random(f"{seed}/load").choice(list(Load))
         services = SERVICES[: 2 if count == 3 else 3]
         self._configured = services + ("fourth", "fifth")[: self._random.randint(0, 2)]
         self._services = {f"node-{each}": services[each % len(services)] for each in range(count)}
@@ -127,7 +142,7 @@
     def _make_nodes(self, processes: Processes, folder: Path) -> dict[str, PlatformNode]:
         nodes: dict[str, PlatformNode] = {}
         for number, (name, service) in enumerate(self._services.items()):
-            capacity = self._random.choice(SLOTS)
+            capacity = self._random.choice(SLOTS[self._load])
             options: dict[str, Any] = {"capacity": capacity, "grace_s": GRACE_S}
             first = next(iter(nodes.values()), None)
             if first is None:
@@ -147,7 +162,8 @@
             entry = random.choice(names)
             port = self._nodes[entry].requests_port
             draw = partial(self._draw, entry)
-            work.append(partial(send_in_turn, port, random, draw, self._over.is_set))
+            slow = self._load is Load.SLOW_READS or random.random() < 0.3
+            work.append(partial(send_in_turn, port, random, draw, self._over.is_set, slow))
         with self.running(*work):
             sleep(1.0)
             for _ in range(ROUNDS):
@@ -324,9 +340,11 @@
                 ]
             ),
         )
+        if self._load is Load.CROWDED:
+            request.work_s, request.wait_s = random.uniform(0.5, LONG_WORK_S), WAITS_S[-1]
         kind = random.random()
-        if kind < 0.1:
-            request.answer_bytes = random.choice([500_000, 4_000_000])
+        if kind < LONG_ANSWERS[self._load]:
+            request.answer_bytes = random.choice([500_000, 4_000_000, 8_000_000])
             request.work_s, request.read_s = 0.1, random.uniform(0.3, 2.0)
         elif kind < 0.25 and not request.safe:
             request.body = request.name.encode("ascii") * random.choice([4, 400])
@@ -457,7 +475,7 @@
         nodes, clients = len(self._nodes), self._clients
         return (
             f"{nodes} nodes, {clients} clients, repeated SIGTERM {self._repeats_stops}, "
-            f"pipelined {self._pipelines}, {self._services}: {dict(statuses)}"
+            f"pipelined {self._pipelines}, {self._load.value}, {self._services}: {dict(statuses)}"
         )
 
 
