--- a/tests/test_overlapping_stops_soak.py
+++ b/tests/test_overlapping_stops_soak.py
@@ -1,6 +1,6 @@
 """Stops that overlap, beside clients on kept connections: no request that was accepted is lost.
 
-What counts as lost follows the platform's rule LOST, see `StopsSoak._excuse`. `SEEDS=100-149` sets
+What counts as lost follows the platform's rule LOST, see `lost_rule`. `SEEDS=100-149` sets
 the seeds of a long run, `SOAK_NODES=70` the number of nodes, and `PRODUCT_SOURCE=DIR` runs the
 nodes from the source folder of another commit. ``soak.txt``, ``requests.jsonl``
 and ``nodes.jsonl`` in the folder of the test hold what was lost, all that was seen, and the log
@@ -13,9 +13,11 @@
 import os
 from collections import Counter, defaultdict
 from contextlib import suppress
-from dataclasses import asdict, dataclass
+from dataclasses import astuple, dataclass
 from enum import Enum
 from functools import partial
+from itertools import count
+from math import inf
 from pathlib import Path
 from random import Random
 from signal import SIGHUP, SIGTERM, Signals
@@ -25,10 +27,11 @@
 
 import yaml
 from harness import HarnessError, Process, Processes, wait_until
+from lost_rule import GRACE_S, Observed, Run, describe, fault_of, fields_of
 from platform_node import PlatformNode, make_config, make_route
 from pytest import mark
-from soak_client import Ending, SoakRequest, send_in_turn
-from soak_platform import CHECK_IN_PERIOD_S, NOT_RUN_STATUSES, PlatformSoak
+from soak_client import SoakRequest, send_in_turn
+from soak_platform import CHECK_IN_PERIOD_S, PlatformSoak
 from test_store_soak import seeds
 
 pytestmark = mark.alone
@@ -38,13 +41,7 @@
 ROUNDS = 2
 READY_WITHIN_S = 30.0
 SERVICES = ("stock", "other", "third")
-#: Bounds of the platform, as its sites have them.
-GRACE_S = 6.0
-LOSS_SLACK_S = 0.2
-CONFIG_APPLY_S = 2.0
 DRAIN_S = 2.0
-#: A request that is sent this long after SIGTERM has to be answered within the grace period.
-SENT_LATE_S = 3.0
 #: Deadlines of clients, all below the time-out of the routes.
 WAITS_S = (2.0, 4.0, 5.5)
 ROUTE_TIMEOUT_MS = 6000
@@ -52,9 +49,8 @@
 LONG_WORK_S = 2.6
 #: Work of a stop's length, only where client and instance are on the same machine.
 OVERLONG_WORK_S = 6.0
-SLACK_S = 0.1
 #: Length of the message of a failure; ``soak.txt`` has all.
-LINES_MAX_BYTES = 6000
+MESSAGE_MAX = 6000
 
 
 class Change(Enum):
@@ -112,21 +108,23 @@
         self._random = Random(seed)
         self._folder = folder
         self._requests: list[SoakRequest] = []
-        self._terms: dict[str, list[float]] = defaultdict(list)
-        self._other_changes: list[tuple[float, str]] = []
+        self._observed = Observed()
         self._past_runs: dict[str, list[dict[str, Any]]] = defaultdict(list)
-        self._lines: list[tuple[str, bytes]] = []
+        self._lines: list[tuple[str, str]] = []
         self._readers: list[Thread] = []
         self._version = 1
+        self._rewrites = count(1)
         #: So that what these two bring about does not hide other causes.
         self._repeats_stops = self._random.random() < 0.5
         self._pipelines = self._random.random() < 0.5
-        count = int(os.environ.get("SOAK_NODES", self._random.randint(3, 5)))
+        nodes_count = int(os.environ.get("SOAK_NODES", self._random.randint(3, 5)))
         self._clients = self._random.randint(20, 60)
         self._load = Random(f"{seed}/load").choice(list(Load))
-        services = SERVICES[: 2 if count == 3 else 3]
+        services = SERVICES[: 2 if nodes_count == 3 else 3]
         self._configured = services + ("fourth", "fifth")[: self._random.randint(0, 2)]
-        self._services = {f"node-{each}": services[each % len(services)] for each in range(count)}
+        self._services = {
+            f"node-{each}": services[each % len(services)] for each in range(nodes_count)
+        }
         nodes = self._make_nodes(processes, folder)
         super().__init__(nodes)
         self._single = [
@@ -235,7 +233,7 @@
             self._reload(step.node)
             sleep(-after_s)
         begins_at = monotonic()
-        self._terms[step.node].append(begins_at)
+        self._observed.terms[step.node].append(begins_at)
         process.terminate()
         for after_s, number in after:
             with suppress(HarnessError):
@@ -254,22 +252,20 @@
     def _reload(self, name: str) -> None:
         with suppress(OSError):
             self._processes[name].popen.send_signal(SIGHUP)
-        self._other_changes.append((monotonic(), f"SIGHUP {name}"))
+        self._observed.reloads[name].append(monotonic())
 
     def _rewrite(self, name: str) -> None:
         settings = self._nodes[name].settings()
-        with self._lock:
-            settings["platform"]["check_in_ms"] += len(self._other_changes) % 3
+        settings["platform"]["check_in_ms"] += next(self._rewrites) % 3
         text = yaml.safe_dump(settings, sort_keys=False)
         self._nodes[name].settings_path.write_text(text, encoding="utf-8")
-        self._other_changes.append((monotonic(), f"settings {name}"))
 
     def _publish(self) -> None:
         with self._lock:
             self._version += 1
             document = self._config()
+        self._observed.publications.append(monotonic())
         next(iter(self._nodes.values())).publish(document)
-        self._other_changes.append((monotonic(), f"r{self._version}"))
 
     def _replace(self, name: str) -> None:
         """Let the instance of a node leave, and another one come in its place."""
@@ -287,7 +283,6 @@
         node.replace_instance()
         self._born[name] = int(time() * 1000)
         self._leaving.discard(name)
-        self._other_changes.append((monotonic(), f"instance of {name}"))
 
     def _config(self) -> bytes:
         """Return the next configuration; the time-outs of its routes differ."""
@@ -313,7 +308,7 @@
 
     def _read_log(self, name: str, process: Process) -> None:
         for line in process.popen.stdout:
-            self._lines.append((name, line))
+            self._lines.append((name, line.decode("utf-8", "replace").strip()))
 
     def _draw(self, entry: str, random: Random) -> list[SoakRequest]:
         """Return the next requests of a client, which are pipelined if they are several."""
@@ -360,142 +355,45 @@
 
     def check(self) -> None:
         """Check what clients and instances saw, and write what was lost."""
-        runs: dict[str, list[dict[str, Any]]] = defaultdict(list)
         for name, node in self._nodes.items():
             for run in self._past_runs[name] + node.runs():
-                runs[run["name"]].append({**run, "node": name})
-        faults = [
-            self._describe(request, what, runs[request.name])
+                span = run["started_at"], run["ended_at"] or inf
+                self._observed.runs[run["name"]].append(Run(name, run["body"], *span))
+        faults = {
+            request.name: fault
             for request in self._requests
-            if (what := self._fault_of(request, runs[request.name]))
-        ]
-        summary = self._summary(runs)
-        causes = Counter(fault.partition(":")[0] for fault in faults)
-        summary += "\n" + ", ".join(f"{count} {cause}" for cause, count in causes.items())
-        text = "\n\n".join([summary, ", ".join(self._log), *faults])
-        (self._folder / "soak.txt").write_text(text, encoding="utf-8")
-        seen = [json.dumps([_fields_of(each), runs[each.name]]) for each in self._requests]
-        (self._folder / "requests.jsonl").write_text("\n".join(seen), encoding="utf-8")
-        lines = [json.dumps([name, line.decode()]) for name, line in self._lines]
-        (self._folder / "nodes.jsonl").write_text("\n".join(lines), encoding="utf-8")
-        assert sum(request.answered for request in self._requests) > self._clients
-        assert not faults, text[:LINES_MAX_BYTES]
-
-    def _fault_of(self, request: SoakRequest, runs: list[dict[str, Any]]) -> str | None:
-        """Return what a request shows that must not be, if anything."""
-        if not request.safe and len(runs) > 1:
-            return "ran twice"
-        if not request.safe and runs and request.status in NOT_RUN_STATUSES:
-            return "ran though it was refused as not run"
-        if request.answered and not request.owns_answer:
-            return "wrong answer"
-        if any(run["body"] != request.body.decode("ascii") for run in runs):
-            return "wrong body at the instance"
-        if request.answered or request.written_at > request.ended_at:
-            return None
-        if not runs and (request.whole or not self._was_read(request)):
-            return None
-        if self._is_excused(request, runs):
-            return None
-        if request.whole:
-            return f"lost, answered {request.status} instead"
-        if request.status is not None:
-            return "lost in the middle of the answer"
-        return "lost, closed" if runs else "lost, read but not passed on"
-
-    def _was_read(self, request: SoakRequest) -> bool:
-        """Return whether the end of a connection shows that the node had read a request.
-
-        A process that ends with unread bytes resets the connection, and a request that crosses the
-        close does not count.
-        """
-        if request.status is not None:
-            return True
-        waited_s = request.ended_at - request.written_at
-        return request.ending is Ending.CLOSED and waited_s > LOSS_SLACK_S
-
-    def _is_excused(self, request: SoakRequest, runs: list[dict[str, Any]]) -> bool:
-        """Return whether a request may have no whole answer, after the rule LOST.
-
-        - The deadline or the time-out of the route was reached; the former comes first here.
-        - The instance was still at work in the last sixth of the grace period, counted from the
-          SIGTERM of the machine that took the request, no later than 3 s after which it was sent.
-        - The instance broke off: none does here.
-        """
-        if request.ended_at - request.sent_at >= request.wait_s - SLACK_S:
-            return True
-        for term_at in self._terms[request.entry]:
-            last_sixth_at = term_at + GRACE_S * 5 / 6
-            is_of_this_stop = request.ended_at >= last_sixth_at - SLACK_S
-            is_sent_in_time = term_at - GRACE_S < request.sent_at <= term_at + SENT_LATE_S
-            at_work = any(
-                run["started_at"] < term_at + GRACE_S
-                and (not run["ended_at"] or run["ended_at"] >= last_sixth_at)
-                for run in runs
-            )
-            if is_of_this_stop and is_sent_in_time and at_work:
-                return True
-        return False
-
-    def _scope_of(self, request: SoakRequest) -> str:
-        """Return the planned work during which a request was lost.
-
-        Beyond that the rule asks for nothing, but our check does: the stop of another node is no
-        reason either, since the work that ends within a stop is not begun too late in it.
-        """
-        ended_at = request.ended_at
-        if any(0.0 <= ended_at - at <= GRACE_S + 1.0 for at in self._terms[request.entry]):
-            return "SIGTERM of the entry"
-        for at, what in self._other_changes:
-            if what == f"SIGHUP {request.entry}" and request.sent_at - CONFIG_APPLY_S <= at:
-                if at <= ended_at:
-                    return "SIGHUP of the entry"
-            if what.startswith("r") and at <= ended_at <= at + CONFIG_APPLY_S + 1.0:
-                return "configuration"
-        return "none of the rule"
-
-    def _describe(self, request: SoakRequest, what: str, runs: list[dict[str, Any]]) -> str:
-        """Return all that is known of a request, with times relative to its sending."""
-        since = request.sent_at
-        terms = {
-            name: [round(at - since, 3) for at in times if -20.0 < at - since < 10.0]
-            for name, times in self._terms.items()
+            if (fault := fault_of(self._observed, request))
         }
-        changes = [
-            (round(at - since, 3), name)
-            for at, name in self._other_changes
-            if -10.0 < at - since < 10.0
-        ]
-        seen = _fields_of(request)
-        seen["written_after_s"] = round(request.written_at - since, 3)
-        seen["ended_after_s"] = round(request.ended_at - since, 3)
-        ran = [
-            (
-                run["node"],
-                round(run["started_at"] - since, 3),
-                round(run["ended_at"] - since, 3) if run["ended_at"] else "at work",
-            )
-            for run in runs
+        counts = Counter(faults.values())
+        reports = [
+            self._report(request, faults[request.name])
+            for request in self._requests
+            if request.name in faults
         ]
-        needle = f'"{request.name}"'.encode("ascii")
-        lines = [
-            f"  {name} {line.decode().strip()}" for name, line in self._lines if needle in line
+        text = "\n\n".join([self._summary(), str(dict(counts)), self.log, *reports])
+        self._write("soak.txt", [text])
+        runs = self._observed.runs
+        seen = [
+            json.dumps([fields_of(each), [astuple(run) for run in runs.get(each.name, [])]])
+            for each in self._requests
         ]
-        return "\n".join(
-            [
-                f"{what}: {seen}",
-                f"  planned work: {self._scope_of(request)}",
-                f"  runs {ran}",
-                f"  SIGTERM {terms}",
-                f"  {changes}",
-                *lines,
-            ]
-        )
+        self._write("requests.jsonl", seen)
+        self._write("nodes.jsonl", [json.dumps([name, text]) for name, text in self._lines])
+        assert sum(request.answered for request in self._requests) > self._clients
+        assert not faults, text[:MESSAGE_MAX]
+
+    def _write(self, name: str, lines: list[str]) -> None:
+        (self._folder / name).write_text("\n".join(lines), encoding="utf-8")
 
-    def _summary(self, runs: dict[str, list[dict[str, Any]]]) -> str:
+    def _report(self, request: SoakRequest, fault: str) -> str:
+        needle = f'"{request.name}"'
+        lines = [f"  {name} {line}" for name, line in self._lines if needle in line]
+        return "\n".join([describe(self._observed, request, fault), *lines])
+
+    def _summary(self) -> str:
         statuses: dict[str, int] = defaultdict(int)
         for request in self._requests:
-            ran = "ran" if runs[request.name] else "not run"
+            ran = "ran" if request.name in self._observed.runs else "not run"
             statuses[f"{request.status} {ran} {request.ending and request.ending.value}"] += 1
         nodes, clients = len(self._nodes), self._clients
         return (
@@ -504,13 +402,6 @@
         )
 
 
-def _fields_of(request: SoakRequest) -> dict[str, Any]:
-    """Return the fields of a request for the report, without its bodies."""
-    fields = asdict(request)
-    del fields["body"], fields["body_of_answer"]
-    return {**fields, "ending": request.ending and request.ending.value}
-
-
 # Guards calls that begin late in a stop, stops that are requested again and responses being sent.
 @mark.parametrize("seed", seeds(CI_SEEDS))
 def test_no_accepted_request_is_lost_beside_overlapping_stops(tmp_path, seed: int) -> None:
