--- a/tests/test_overlapping_stops_soak.py
+++ b/tests/test_overlapping_stops_soak.py
@@ -67,7 +67,8 @@
     """What the clients of a run ask for, so that no cause of losses hides another."""
 
     MIXED = "mixed"
-    #: Instances with one slot or two and long work, so that calls wait.
+    #: Instances with one slot or two, long work and few clients, so that calls wait and are not
+    #: refused at once.
     CROWDED = "crowded"
     #: Many long answers, which are read slowly.
     SLOW_READS = "slow-reads"
@@ -120,6 +121,8 @@
         nodes_count = int(os.environ.get("SOAK_NODES", self._random.randint(3, 5)))
         self._clients = self._random.randint(20, 60)
         self._load = Random(f"{seed}/load").choice(list(Load))
+        if self._load is Load.CROWDED:
+            self._clients //= 4
         services = SERVICES[: 2 if nodes_count == 3 else 3]
         self._configured = services + ("fourth", "fifth")[: self._random.randint(0, 2)]
         self._services = {
