--- a/src/pollenbay/daemon.py
+++ b/src/pollenbay/daemon.py
@@ -35,6 +35,7 @@
 from pollenbay.settings import Settings, load_settings
 from pollenbay.signals import StopSignals, catch_signals
 from pollenbay.stream import accept_streams, listen, port_of
+from pollenbay.task import AcyclicTask
 
 LOG = getLogger("pollenbay.daemon")
 EXIT_OK = 0
@@ -97,7 +98,10 @@
             click.echo(f"pollenbayd: {path}: {platform.err_value}", err=True)
             exit(EXIT_BAD_SETTINGS)
     if not check:
-        exit(run(serve_node, settings.ok_value, path, selector=make_selector()))
+        exit_code = run(
+            serve_node, settings.ok_value, path, selector=make_selector(), taskcls=AcyclicTask
+        )
+        exit(exit_code)
 
 
 async def serve_node(settings: Settings, path: Path) -> int:
@@ -133,7 +137,7 @@
 async def _serve_platform(settings: Settings, path: Path) -> int:
     """Run a node with the interfaces of the users' platform, whose settings `main` has checked."""
     platform = read_platform_settings(settings).unwrap()
-    settings = adapt_settings(settings)
+    settings = adapt_settings(settings).unwrap()
     listeners = _listen(settings)
     adapter = make_platform_adapter(platform)
     node = make_node(settings, port_of(listeners.link), adopt, read_current, adapter)
--- a/tests/platform_node.py
+++ b/tests/platform_node.py
@@ -52,6 +52,7 @@
     :param number: number of the node in its name.
     :param store: store of the other nodes; by default a new one.
     :param capacity: slots of the instance, as in its check-ins.
+    :param grace_s: seconds from the stop signal until the process may be killed.
     """
 
     def __init__(
@@ -72,7 +73,6 @@
         self._name = f"node-{number}"
         self._service = service
         self._target = f"i-{number}"
-        self._capacity = capacity
         self._grace_s = grace_s
         self.store = store or processes.start("store", "standins.metadata")
         self.instance = processes.start("instance", "standins.instance", "--name", self._target)
@@ -80,6 +80,7 @@
         self.readiness_port = free_port()
         self.check_ins_port = free_port()
         self.settings_path = processes.write_yaml(f"{self._name}.yaml", self.settings())
+        self.capacity = capacity
         self._seq = 0
 
     def settings(self) -> dict[str, Any]:
@@ -99,6 +100,7 @@
                 "check_ins": f"{ADDRESS}:{self.check_ins_port}",
                 "check_in_ms": 1500,
                 "bounds": {"grace_s": self._grace_s, "closed": True},
+                "limits": {},
             },
         }
 
@@ -121,14 +123,14 @@
         wait_until(lambda: self.readiness_status() == 200, READY_WITHIN_S, "the node to be ready")
 
     def add_node(self, service: str, number: int = 2, **options: Any) -> "PlatformNode":
-        """Return a further node at the same store; it has not been started."""
+        """Return a further node, of any service, at the same store; it has not been started."""
         return PlatformNode(
             self._processes,
             self._folder,
             number=number,
             service=service,
             store=self.store,
-            **options,
+            **{"grace_s": self._grace_s, **options},
         )
 
     def replace_instance(self) -> None:
@@ -161,7 +163,7 @@
                 "service": self._service,
                 "version": "v1",
                 "zone": "z1",
-                "capacity": self._capacity,
+                "capacity": self.capacity,
             },
             "status": {"state": state, "seq": self._seq, "warmup_left_ms": 0},
             "born": 1,
--- a/tests/test_overlapping_stops_soak.py
+++ b/tests/test_overlapping_stops_soak.py
@@ -145,14 +145,13 @@
         nodes: dict[str, PlatformNode] = {}
         for number, (name, service) in enumerate(self._services.items()):
             capacity = self._random.choice(SLOTS[self._load])
-            options: dict[str, Any] = {"capacity": capacity, "grace_s": GRACE_S}
             first = next(iter(nodes.values()), None)
-            if first is None:
-                nodes[name] = PlatformNode(
-                    processes, folder, number=number, service=service, **options
-                )
-            else:
-                nodes[name] = first.add_node(service, number, **options)
+            make_node = (
+                partial(PlatformNode, processes, folder) if first is None else first.add_node
+            )
+            nodes[name] = make_node(
+                service=service, number=number, capacity=capacity, grace_s=GRACE_S
+            )
         return nodes
 
     def run(self) -> None:
--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -1,13 +1,13 @@
 """Planned stops on the users' platform: whatever a stopping node passes on is answered."""
 
 from collections.abc import Iterator
-from concurrent.futures import ThreadPoolExecutor
+from concurrent.futures import Future, ThreadPoolExecutor
 from contextlib import suppress
 from http.client import HTTPException
 from time import sleep
 
-from harness import Process, Processes, wait_until
-from platform_node import PlatformNode, make_config, make_route
+from harness import Process, Processes, Response, wait_until
+from platform_node import SERVICE, PlatformNode, make_config, make_route
 from pytest import fixture, mark
 
 from pollenbay.daemon import EXIT_TASK_FAILED
@@ -23,6 +23,11 @@
 SERVICES = ("stock", "other", "third", "fourth", "fifth")
 #: Requests after which a node knows the class of a route.
 CLASSIFYING_REQUESTS = 20
+LONG_GRACE_S = 6.0
+#: More than is left of a stop with that grace period when new work is rejected.
+OUTLASTING_WORK_S = 4.6
+#: So long that two such requests, one after the other, outlast a stop with that grace period.
+HALF_STOP_WORK_S = 3.2
 
 
 @fixture
@@ -32,6 +37,15 @@
         yield PlatformNode(processes, tmp_path)
 
 
+@fixture
+def queueing_platform(tmp_path) -> Iterator[PlatformNode]:
+    """Yield the same with a longer grace period and an instance that runs one call at a time."""
+    with Processes(tmp_path) as processes:
+        platform = PlatformNode(processes, tmp_path, grace_s=LONG_GRACE_S)
+        platform.capacity = 1
+        yield platform
+
+
 class StopClients:
     """Clients that send requests to a node, one after the other, until its process is gone."""
 
@@ -197,3 +211,125 @@
     assert node.wait() == EXIT_TASK_FAILED
     failures = [line for line in node.log_lines() if line["message"] == "task failed"]
     assert [line["task"] for line in failures] == ["fail_beside_a_call"]
+
+
+# A call that waited at a stopping node began late in the stop and was cut by its end.
+def test_request_that_waits_at_a_stopping_node_is_answered_or_not_run(
+    queueing_platform: PlatformNode,
+) -> None:
+    platform = queueing_platform
+    entry = platform.add_node("other")
+    node = platform.serve(make_route("/unsafe/", "unsafe", timeout_ms=30_000, priority=0))
+    entry_process = entry.start()
+
+    def is_answered() -> bool:
+        return entry.send_request("/unsafe/", "POST", body=b"x").status == 200
+
+    wait_until(is_answered, STARTED_WITHIN_S, "the entry to serve")
+    work_s = {"first": 3.6, "second": 1.6, "third": 1.6}
+    platform.check_in()
+    with ThreadPoolExecutor(len(work_s)) as pool:
+        answers = {}
+        for name, seconds in work_s.items():
+            target = f"/unsafe/?work_s={seconds}"
+            answers[name] = pool.submit(
+                entry.send_request, target, "POST", body=b"x", name=name, within_s=20.0
+            )
+            wait_until(lambda: platform.has_started("first"), STARTED_WITHIN_S, "the first to run")
+        sleep(0.3)
+        node.terminate()
+        sleep(1.5)
+        entry_process.terminate()
+        statuses = {name: answer.result().status for name, answer in answers.items()}
+    answered = {name for name, status in statuses.items() if status == 200}
+    assert "first" in answered
+    assert {name: status for name, status in statuses.items() if status not in (200, 503)} == {}
+    assert {run["name"] for run in platform.runs()} & set(work_s) == answered
+
+
+# A call that began in the first part of a stop outlasted it, though its run time was known.
+def test_request_that_would_outlast_a_planned_stop_does_not_begin(
+    queueing_platform: PlatformNode,
+) -> None:
+    platform = queueing_platform
+    short = make_route("/unsafe/", "unsafe", timeout_ms=30_000, priority=0)
+    long = make_route("/long/", "unsafe", timeout_ms=30_000, priority=0)
+    node = platform.serve(short, long)
+    assert platform.send_request(f"/long/?work_s={OUTLASTING_WORK_S}", "POST").status == 200
+    platform.check_in()
+    with ThreadPoolExecutor(3) as pool:
+
+        def submit(name: str, path: str, work_s: float) -> Future[Response]:
+            target = f"{path}?work_s={work_s}"
+            return pool.submit(platform.send_request, target, "POST", name=name, within_s=20.0)
+
+        first = submit("first", "/unsafe/", 1.5)
+        wait_until(lambda: platform.has_started("first"), STARTED_WITHIN_S, "the first to run")
+        outlasting = submit("outlasting", "/long/", OUTLASTING_WORK_S)
+        sleep(0.3)
+        node.terminate()
+        assert outlasting.result().status == 503
+        assert first.result().status == 200
+    assert not platform.has_started("outlasting")
+
+
+# An entry that was stopping passed a request on with more time than it had left, and cut it.
+def test_request_that_begins_too_late_for_its_stopping_entry_is_not_run(
+    queueing_platform: PlatformNode,
+) -> None:
+    platform = queueing_platform
+    entry = platform.add_node("other")
+    short = make_route("/unsafe/", "unsafe", timeout_ms=30_000, priority=0)
+    long = make_route("/long/", "unsafe", timeout_ms=30_000, priority=0)
+    platform.serve(short, long)
+    entry_process = entry.start()
+
+    def is_answered() -> bool:
+        return entry.send_request("/unsafe/", "POST", body=b"x").status == 200
+
+    wait_until(is_answered, STARTED_WITHIN_S, "the entry to serve")
+    target = f"/long/?work_s={HALF_STOP_WORK_S}"
+    assert platform.send_request(target, "POST").status == 200
+    platform.check_in()
+    with ThreadPoolExecutor(2) as pool:
+        first = pool.submit(platform.send_request, target, "POST", name="first", within_s=20.0)
+        wait_until(lambda: platform.has_started("first"), STARTED_WITHIN_S, "the first to run")
+        entry_process.terminate()
+        sleep(0.3)
+        late = pool.submit(entry.send_request, target, "POST", name="late", within_s=20.0)
+        assert late.result().status == 503
+        assert first.result().status == 200
+    assert not platform.has_started("late")
+
+
+# A call that waited at a stopping node stayed there, though another instance was free.
+def test_request_that_waits_at_a_stopping_node_is_answered_by_another_instance(
+    queueing_platform: PlatformNode,
+) -> None:
+    platform = queueing_platform
+    entry, free = platform.add_node("other"), platform.add_node(SERVICE, number=3)
+    node = platform.serve(make_route("/unsafe/", "unsafe", timeout_ms=30_000, priority=0))
+    entry.start()
+    free.start()
+    free.wait_ready()
+
+    def is_answered() -> bool:
+        return entry.send_request("/unsafe/", "POST", body=b"x").status == 200
+
+    wait_until(is_answered, STARTED_WITHIN_S, "the entry to serve")
+    platform.check_in()
+    with ThreadPoolExecutor(2) as pool:
+
+        def submit(name: str, work_s: float) -> Future[Response]:
+            target = f"/unsafe/?work_s={work_s}"
+            return pool.submit(entry.send_request, target, "POST", name=name, within_s=20.0)
+
+        first = submit("first", 4.0)
+        wait_until(lambda: platform.has_started("first"), STARTED_WITHIN_S, "the first to run")
+        waiting = submit("waiting", 0.1)
+        sleep(0.3)
+        assert free.check_in().status == 200
+        node.terminate()
+        assert (waiting.result().status, first.result().status) == (200, 200)
+    assert free.has_started("waiting")
+    assert not platform.has_started("waiting")
