--- a/tests/platform_node.py
+++ b/tests/platform_node.py
@@ -10,6 +10,8 @@
 SERVICE = "stock"
 HOST = "shop.example"
 READY_WITHIN_S = 10.0
+CAPACITY = 20
+GRACE_S = 2.0
 
 
 def make_config(
@@ -49,6 +51,7 @@
     :param limits: resource limits in the settings of the node.
     :param number: number of the node in its name.
     :param store: store of the other nodes; by default a new one.
+    :param capacity: slots of the instance, as in its check-ins.
     :param grace_s: seconds from the stop signal until the process may be killed.
     """
 
@@ -61,22 +64,23 @@
         number: int = 1,
         service: str = SERVICE,
         store: Process | None = None,
-        grace_s: float = 2.0,
+        capacity: int = CAPACITY,
+        grace_s: float = GRACE_S,
     ) -> None:
         self._processes = processes
         self._folder = folder
         self._limits = limits or {}
         self._name = f"node-{number}"
         self._service = service
-        self._grace_s = grace_s
         self._target = f"i-{number}"
+        self._grace_s = grace_s
         self.store = store or processes.start("store", "standins.metadata")
         self.instance = processes.start("instance", "standins.instance", "--name", self._target)
         self.requests_port = free_port()
         self.readiness_port = free_port()
         self.check_ins_port = free_port()
         self.settings_path = processes.write_yaml(f"{self._name}.yaml", self.settings())
-        self.capacity = 20
+        self.capacity = capacity
         self._seq = 0
 
     def settings(self) -> dict[str, Any]:
@@ -118,7 +122,7 @@
         """Wait until the node is ready."""
         wait_until(lambda: self.readiness_status() == 200, READY_WITHIN_S, "the node to be ready")
 
-    def add_node(self, service: str, number: int = 2) -> "PlatformNode":
+    def add_node(self, service: str, number: int = 2, **options: Any) -> "PlatformNode":
         """Return a further node, of any service, at the same store; it has not been started."""
         return PlatformNode(
             self._processes,
@@ -126,7 +130,17 @@
             number=number,
             service=service,
             store=self.store,
-            grace_s=self._grace_s,
+            **{"grace_s": self._grace_s, **options},
+        )
+
+    def replace_instance(self) -> None:
+        """End the instance and start another one, with another name, at its address."""
+        port = self.instance.port
+        self.instance.kill()
+        self._target += "b"
+        self._seq = 0
+        self.instance = self._processes.start(
+            "instance", "standins.instance", "--name", self._target, "--port", str(port)
         )
 
     def publish(self, document: bytes) -> None:
