Hold memory for all of an answer whose length is stated at once

Cause: bodies were held piece by piece, and one that found no room waited while it kept what it had, so that all waited for each other. Change: a response whose head states its length holds all of it at its first piece, or waits with nothing of it in hand; one that states more than is accepted is given up at once. Answers without a length still hold piece by piece and can wait for each other until their deadlines. Measured: six answers of 4 MB within a memory for three are read whole; before, the test failed, not all were read within 15 s.

--- a/src/pollenbay/commands/bodymemory.py
+++ b/src/pollenbay/commands/bodymemory.py
@@ -64,10 +64,11 @@
     """Hold memory for a piece of a body, after waiting for a token and for room if need be.
 
     :param clock: returns monotonic seconds.
+    :param added_bytes: bytes to hold; 0 if memory for this piece is held already.
     """
     if count_piece(holding):
         await wait_for_token(holding.memory, clock)
-    if not has_room(holding, added_bytes):
+    if added_bytes and not has_room(holding, added_bytes):
         return await wait_to_hold(holding, added_bytes)
     _change(holding, holding.held_bytes + added_bytes * COPIES)
     return True
--- a/src/pollenbay/http1.py
+++ b/src/pollenbay/http1.py
@@ -167,15 +167,20 @@
     received_bytes: Callable[[], int],
     limit_bytes: int,
     hold: HoldBody = hold_unlimited,
+    stated_bytes: int = 0,
 ) -> bytes:
     """Return a complete body from the events of a connection.
 
     :param received_bytes: returns the number of bytes received since the message began.
     :param hold: holds memory for more bytes of the body and returns whether there is room.
+    :param stated_bytes: length of the body if memory for all of it is held from the first piece on.
     :raises HttpBodyError: if it is truncated, exceeds the limit, is mostly framing or finds no
         memory.
     """
+    if stated_bytes > limit_bytes:
+        raise HttpBodyError(BodyProblem.TOO_LONG)
     body = bytearray()
+    held_bytes = 0
     while True:
         event = await next_event()
         if isinstance(event, h11.EndOfMessage):
@@ -184,8 +189,10 @@
             raise HttpBodyError(BodyProblem.CUT_SHORT)
         if len(body) + len(event.data) > limit_bytes:
             raise HttpBodyError(BodyProblem.TOO_LONG)
-        if not await hold(len(event.data)):
+        needed_bytes = max(stated_bytes, len(body) + len(event.data))
+        if not await hold(needed_bytes - held_bytes):
             raise HttpBodyError(BodyProblem.NO_MEMORY)
+        held_bytes = needed_bytes
         body += event.data
         framing_limit = FRAMING_LIMIT_BYTES + FRAMING_BYTES_PER_BODY_BYTE * len(body)
         if received_bytes() - len(body) > framing_limit:
--- a/src/pollenbay/httpclient.py
+++ b/src/pollenbay/httpclient.py
@@ -206,7 +206,7 @@
                 raise HttpAnswerError(
                     "response has no stated length, so truncation would not be noticed"
                 )
-        body = await self._read_body()
+        body = await self._read_body(_stated_bytes(method, head.status_code, headers))
         return HttpResponse(head.status_code, headers, body)
 
     async def _read_final_head(self) -> h11.Event | type[h11.PAUSED]:
@@ -230,13 +230,14 @@
                 return event
             await self._receive()
 
-    async def _read_body(self) -> bytes:
+    async def _read_body(self, stated_bytes: int) -> bytes:
         try:
             return await collect_body(
                 self._next_event,
                 lambda: self._received_bytes,
                 self._body_limit_bytes,
                 self._hold,
+                stated_bytes,
             )
         except HttpBodyError as error:
             raise HttpAnswerError(str(error)) from error
@@ -290,3 +291,13 @@
     if method == b"HEAD" or status in STATUSES_WITHOUT_BODY:
         return True
     return any(name in (b"content-length", b"transfer-encoding") for name, _ in headers)
+
+
+def _stated_bytes(method: bytes, status: int, headers: Headers) -> int:
+    """Return the length of the body that a head states; 0 if it states none or no body follows."""
+    if method == b"HEAD" or status in STATUSES_WITHOUT_BODY:
+        return 0
+    names = dict(headers)
+    if b"transfer-encoding" in names:
+        return 0
+    return int(names.get(b"content-length", b"0"))
--- a/tests/test_bodymemory.py
+++ b/tests/test_bodymemory.py
@@ -1,8 +1,11 @@
 """Memory for bodies: within its limit, with a part for small ones, and given back whole."""
 
+from functools import partial
 from time import monotonic
 
-from curio import TaskGroup, run, sleep, spawn
+from curio import TaskGroup, TaskTimeout, run, sleep, spawn, timeout_after
+from curio.io import Socket
+from curio.socket import socketpair
 from hypothesis import given
 from hypothesis import strategies as st
 from pytest import raises
@@ -26,6 +29,8 @@
     release,
     wait_to_hold,
 )
+from pollenbay.http1 import HttpRequest
+from pollenbay.httpclient import HttpClient
 from pollenbay.queries.bodymemory import ALONE_RATIO
 from pollenbay.states import BodyHolder
 
@@ -38,6 +43,12 @@
     ),
     max_size=60,
 )
+#: Answers that together need twice the memory for large bodies of a process with few megabytes.
+ANSWERS = 6
+ANSWER_BYTES = 4_000_000
+FEW_MB = 64
+ANSWERED_WITHIN_S = 15.0
+ANSWER_PIECE_BYTES = 50_000
 
 
 def client_holding(memory: BodyMemory) -> BodyHolding:
@@ -118,3 +129,51 @@
     for _ in range(BODY_MAX_BYTES // 65_536):
         with raises(StopIteration):
             hold_paced(holding, lambda: 0.0, 65_536).send(None)
+
+
+async def answer(sock: Socket) -> None:
+    """Send an answer in pieces, with pauses in which the others go on."""
+    await sock.recv(65_536)
+    await sock.sendall(b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % ANSWER_BYTES)
+    for _ in range(ANSWER_BYTES // ANSWER_PIECE_BYTES):
+        await sock.sendall(bytes(ANSWER_PIECE_BYTES))
+        await sleep(0.001)
+
+
+async def read_answer(memory: BodyMemory) -> int:
+    """Return the length of an answer that is read within the memory; 0 if it takes too long."""
+    near, far = socketpair()
+    holding = make_holding(memory, BodyHolder.TARGET)
+    sending = await spawn(answer, far, daemon=True)
+    client = HttpClient(near, BODY_MAX_BYTES)
+    request = HttpRequest(b"GET", b"/", [(b"host", b"test")], b"")
+    try:
+        hold_piece = partial(hold_paced, holding, monotonic)
+        async with timeout_after(ANSWERED_WITHIN_S):
+            return len((await client.exchange(request, hold=hold_piece)).body)
+    except TaskTimeout:
+        return 0
+    finally:
+        release(holding)
+        await sending.cancel()
+        await client.close()
+        await far.close()
+
+
+# Each kept a part of its body and waited for the memory of the others: one was answered 200 and
+# five 504 at their deadlines.
+def test_answers_that_exceed_the_memory_together_are_read_one_after_the_other() -> None:
+    async def main() -> None:
+        memory = make_body_memory(FEW_MB)
+        async with TaskGroup() as group:
+            for _ in range(ANSWERS):
+                await group.spawn(read_answer, memory)
+            peak_bytes = 0
+            while any(not task.terminated for task in group.tasks):
+                peak_bytes = max(peak_bytes, memory.large_bytes)
+                await sleep(0.001)
+        assert group.results == [ANSWER_BYTES] * ANSWERS
+        assert peak_bytes <= memory.limit_bytes
+        assert memory.large_bytes == 0
+
+    run(main)
