Let the instance of the shared node check in before each test

Cause: the instance of that node checked in once, when the module began, and its lease is 5.25 s. The module's tests take longer on a busy machine, and from then on the instance counts as absent. The tests were wrong: an instance checks in all the time. Shown by a script that waits 6 s after the check-in: 503 with 'retry-after: 1.000', and 200 after the next check-in. Change: it checks in before each test. No check is changed. Measured: the tests of the module pass.

--- a/tests/test_platform_path.py
+++ b/tests/test_platform_path.py
@@ -10,7 +10,7 @@
 
 from harness import Processes, send, wait_until
 from platform_node import READY_WITHIN_S, SERVICE, PlatformNode, make_config, make_route
-from pytest import MonkeyPatch, fixture, mark
+from pytest import FixtureRequest, MonkeyPatch, fixture, mark
 
 EFFECT_WITHIN_S = 5.0
 #: Header lines whose name or value holds a blank or a control character.
@@ -42,6 +42,13 @@
         yield platform
 
 
+@fixture(autouse=True)
+def check_in_before(request: FixtureRequest) -> None:
+    """Let the instance of the shared node check in, as instances do all the time."""
+    if "served" in request.fixturenames:
+        assert request.getfixturevalue("served").check_in().status == 200
+
+
 @fixture
 def platform(tmp_path) -> Iterator[PlatformNode]:
     """Yield the stand-ins of the platform with a node that has not been started."""
