Tests of stops: wait for an entry in one place

Cause: four tests of test_platform_stop.py had the same lines for it. Change: one function. No check is changed. Measured: the tests of the file pass.

--- a/tests/test_platform_stop.py
+++ b/tests/test_platform_stop.py
@@ -53,6 +53,15 @@
         yield platform
 
 
+def wait_for_entry(entry: PlatformNode) -> None:
+    """Wait until a node passes requests on to the instance of another one."""
+    wait_until(
+        lambda: entry.send_request("/unsafe/", "POST", body=b"x").status == 200,
+        STARTED_WITHIN_S,
+        "the entry to serve",
+    )
+
+
 class StopClients:
     """Clients that send requests to a node, one after the other, until its process is gone."""
 
@@ -199,11 +208,7 @@
     entry = platform.add_node("other")
     node = platform.serve(make_route("/unsafe/", "unsafe", timeout_ms=30_000))
     entry.start()
-
-    def is_answered() -> bool:
-        return entry.send_request("/unsafe/", "POST", body=b"x").status == 200
-
-    wait_until(is_answered, STARTED_WITHIN_S, "the entry to serve")
+    wait_for_entry(entry)
     with ThreadPoolExecutor(1) as pool:
         answer = pool.submit(
             entry.send_request, "/unsafe/?work_s=8", "POST", body=b"x", name="long"
@@ -279,11 +284,7 @@
     entry = platform.add_node("other")
     node = platform.serve(make_route("/unsafe/", "unsafe", timeout_ms=30_000, priority=0))
     entry_process = entry.start()
-
-    def is_answered() -> bool:
-        return entry.send_request("/unsafe/", "POST", body=b"x").status == 200
-
-    wait_until(is_answered, STARTED_WITHIN_S, "the entry to serve")
+    wait_for_entry(entry)
     work_s = {"first": 3.6, "second": 1.6, "third": 1.6}
     platform.check_in()
     with ThreadPoolExecutor(len(work_s)) as pool:
@@ -341,11 +342,7 @@
     long = make_route("/long/", "unsafe", timeout_ms=30_000, priority=0)
     platform.serve(short, long)
     entry_process = entry.start()
-
-    def is_answered() -> bool:
-        return entry.send_request("/unsafe/", "POST", body=b"x").status == 200
-
-    wait_until(is_answered, STARTED_WITHIN_S, "the entry to serve")
+    wait_for_entry(entry)
     target = f"/long/?work_s={HALF_STOP_WORK_S}"
     assert platform.send_request(target, "POST").status == 200
     platform.check_in()
@@ -370,11 +367,7 @@
     entry.start()
     free.start()
     free.wait_ready()
-
-    def is_answered() -> bool:
-        return entry.send_request("/unsafe/", "POST", body=b"x").status == 200
-
-    wait_until(is_answered, STARTED_WITHIN_S, "the entry to serve")
+    wait_for_entry(entry)
     platform.check_in()
     with ThreadPoolExecutor(2) as pool:
 
