--- a/tests/soak_client.py
+++ b/tests/soak_client.py
@@ -7,6 +7,7 @@
 from enum import Enum
 from math import inf
 from random import Random
+from select import POLLERR, POLLHUP, POLLRDHUP, poll
 from socket import SO_RCVBUF, SOL_SOCKET, create_connection, socket
 from time import monotonic, sleep
 
@@ -114,6 +115,10 @@
         self._sock.settimeout(SILENT_S)
         self._data = bytearray()
         self._closing = False
+        self._poll = poll()
+        self._poll.register(self._sock, POLLRDHUP | POLLHUP | POLLERR)
+        #: Monotonic seconds at which the end of the connection was noticed while nothing was read.
+        self._ended_at: float | None = None
 
     def close(self) -> None:
         self._sock.close()
@@ -142,14 +147,15 @@
             except OSError:
                 request.ending = Ending.CLOSED
             request.ended_at = monotonic()
+            if request.ending is not None and self._ended_at is not None:
+                request.ended_at = self._ended_at
             self._closing = self._closing or request.ending is not None
         return not self._closing
 
     def _write(self, request: SoakRequest, random: Random) -> None:
         request.sent_at = monotonic()
         for number, piece in enumerate(request.pieces()):
-            if number:
-                sleep(random.uniform(0.0, 0.05))
+            self._pause(random.uniform(0.0, 0.05) if number else 0.0)
             self._sock.sendall(piece)
         request.written_at = monotonic()
 
@@ -189,11 +195,18 @@
         while len(self._data) < length:
             self._receive()
             due_at = begins_at + within_s * min(len(self._data) / length, 1.0)
-            sleep(max(due_at - monotonic(), 0.0))
+            self._pause(max(due_at - monotonic(), 0.0))
         data = bytes(self._data[:length])
         del self._data[:length]
         return data
 
+    def _pause(self, seconds: float) -> None:
+        """Wait, and note when the node ends the connection meanwhile."""
+        ends_at = monotonic() + seconds
+        if self._ended_at is None and self._poll.poll(seconds * 1000.0):
+            self._ended_at = monotonic()
+        sleep(max(ends_at - monotonic(), 0.0))
+
     def _receive(self) -> None:
         data = self._sock.recv(READ_BYTES)
         if not data:
