--- a/tests/test_fuzz_decoders.py
+++ b/tests/test_fuzz_decoders.py
@@ -135,7 +135,7 @@
     """Decode a message as a link does."""
     link = Link(None)
     link._received += LENGTH_PREFIX.pack(len(data)) + data
-    return link._decode_buffered()
+    return link.take_message()
 
 
 def read_check_in(data: bytes) -> object:
